--- /dev/null
+++ b/briarpond/audit/__init__.py
@@ -0,0 +1,5 @@
+"""The audit trail of changes, read from the folded state."""
+
+from ._trail import AuditLine, audit_lines, changes_since
+
+__all__ = ["AuditLine", "audit_lines", "changes_since"]
--- /dev/null
+++ b/briarpond/conf/__init__.py
@@ -0,0 +1,30 @@
+"""Settings of one process: YAML file, typed model and start-up checks."""
+
+from ._checks import check_settings, load_settings
+from ._exceptions import SettingsProblem
+from ._models import (
+    Address,
+    LimitSettings,
+    ListenSettings,
+    OperatorSettings,
+    PeerSettings,
+    PlatformSettings,
+    Settings,
+    StopSettings,
+    TimingSettings,
+)
+
+__all__ = [
+    "Address",
+    "LimitSettings",
+    "ListenSettings",
+    "OperatorSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "Settings",
+    "SettingsProblem",
+    "StopSettings",
+    "TimingSettings",
+    "check_settings",
+    "load_settings",
+]
--- /dev/null
+++ b/briarpond/conf/_checks.py
@@ -0,0 +1,118 @@
+"""Start-up checks of the settings, each with a code and a hint."""
+
+from pathlib import Path
+
+import yaml
+from expression import Error, Ok, Result
+from pydantic import ValidationError
+
+from ._exceptions import SettingsProblem
+from ._models import Settings
+
+_CODES = {
+    "missing": ("conf.E002", "Add the key; docs/ref/settings.md lists every key."),
+    "extra_forbidden": ("conf.E003", "Remove the key or correct its spelling."),
+}
+_VALUE_CODE = "conf.E004"
+_VALUE_HINT = "Correct the value; docs/ref/settings.md gives its type and range."
+
+
+def load_settings(path: Path) -> Result[Settings, list[SettingsProblem]]:
+    """Read and check the settings file at `path`.
+
+    Returns
+    -------
+    Result
+        The settings, or every problem found.
+    """
+    try:
+        tree = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except OSError as exc:
+        return Error([_unreadable(path, exc.strerror or str(exc))])
+    except (yaml.YAMLError, UnicodeDecodeError) as exc:
+        return Error([_unreadable(path, " ".join(str(exc).split()))])
+    return check_settings(tree)
+
+
+def check_settings(tree: object) -> Result[Settings, list[SettingsProblem]]:
+    """Check a parsed settings tree and return the typed settings or every problem."""
+    try:
+        settings = Settings.model_validate(tree)
+    except ValidationError as exc:
+        return Error([_from_pydantic(error) for error in exc.errors()])
+    problems = [*_check_timing(settings), *_check_addresses(settings)]
+    problems += _check_operators(settings)
+    return Error(problems) if problems else Ok(settings)
+
+
+def _unreadable(path: Path, reason: str) -> SettingsProblem:
+    return SettingsProblem(
+        "conf.E001", str(path), f"Cannot read settings: {reason}.", "Give a readable YAML file."
+    )
+
+
+def _from_pydantic(error: dict) -> SettingsProblem:
+    code, hint = _CODES.get(error["type"], (_VALUE_CODE, _VALUE_HINT))
+    path = ".".join(str(part) for part in error["loc"]) or "(top)"
+    return SettingsProblem(code, path, error["msg"] + ".", hint)
+
+
+def _check_timing(settings: Settings) -> list[SettingsProblem]:
+    timing = settings.timing
+    problems = []
+    if timing.presence_ttl_s < 2 * timing.probe_s:
+        problems.append(
+            SettingsProblem(
+                "conf.E005",
+                "timing.presence_ttl_s",
+                "One lost probe would take a whole group out of service.",
+                "Set it to at least twice timing.probe_s.",
+            )
+        )
+    if timing.node_gone_s <= timing.peer_dead_s:
+        problems.append(
+            SettingsProblem(
+                "conf.E006",
+                "timing.node_gone_s",
+                "A node would be removed before it is suspected.",
+                "Set it above timing.peer_dead_s.",
+            )
+        )
+    if settings.stop.limit_s < settings.stop.entry_ttl_s:
+        problems.append(
+            SettingsProblem(
+                "conf.E007",
+                "stop.limit_s",
+                "The node would stop while callers may still hold its address.",
+                "Set it to at least stop.entry_ttl_s.",
+            )
+        )
+    return problems
+
+
+def _check_addresses(settings: Settings) -> list[SettingsProblem]:
+    listen = settings.listen
+    if len({listen.callers, listen.operators, listen.peers}) == 3:
+        return []
+    return [
+        SettingsProblem(
+            "conf.E008",
+            "listen",
+            "Two listeners share one address.",
+            "Give callers, operators and peers an address each.",
+        )
+    ]
+
+
+def _check_operators(settings: Settings) -> list[SettingsProblem]:
+    names = [operator.name for operator in settings.operators]
+    repeated = sorted({name for name in names if names.count(name) > 1})
+    return [
+        SettingsProblem(
+            "conf.E009",
+            "operators",
+            f"Operator {name} is listed more than once.",
+            "Keep one entry for each operator.",
+        )
+        for name in repeated
+    ]
--- /dev/null
+++ b/briarpond/daemon/_node.py
@@ -0,0 +1,204 @@
+"""State of one running node, shared by the parts of its shell."""
+
+import random
+import uuid
+from collections.abc import Callable, Iterable
+
+from briarpond.admission import AccountIndex, AccountLimiter
+from briarpond.conf import Address, Settings
+from briarpond.configuration import Document
+from briarpond.groups import GroupView, PresenceTable, group_readiness
+from briarpond.ids import DataCentre, GroupId, Incarnation, InstanceId, NodeId, RecordId
+from briarpond.journal import Group, GroupPhase, Node, Outbox, Record, Settled, Tail
+from briarpond.metrics import Metrics
+from briarpond.nodes import Drain, PeerViews
+from briarpond.platform import EngineLoad, FleetInstance, InstanceState
+from briarpond.requests import KeyLedger, RetryBudget, Target, TargetKind
+from briarpond.routing import Candidate, OwnWork
+
+from ._clock import Clock
+from ._http_client import HttpClient
+
+SPREAD_S = 2.0
+OTHER_DATA_CENTRE_S = 0.01
+CONTACT_NEVER = float("-inf")
+
+
+class NodeContext:
+    """Everything that the parts of one node share.
+
+    Attributes
+    ----------
+    fleet : dict
+        Last list of instances, by instance.
+    relayed : dict
+        Views of groups that peers probe, by group.
+    contact_at : float
+        Monotonic time at which the log, directly or by a peer, was last known
+        to be folded to its end.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock, client: HttpClient) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.client = client
+        self.id = NodeId(settings.node)
+        self.data_centre = DataCentre(settings.data_centre)
+        self.incarnation = Incarnation(uuid.uuid4().hex[:12])
+        self.rng = random.Random(uuid.uuid4().int)
+        self.metrics = Metrics()
+        self.tail = Tail()
+        self.outbox = Outbox()
+        self.presence = PresenceTable()
+        self.relayed: dict[GroupId, GroupView] = {}
+        self.fleet: dict[InstanceId, FleetInstance] = {}
+        self.peers = PeerViews()
+        self.ledger = KeyLedger()
+        self.budget = RetryBudget()
+        self.limiter = AccountLimiter()
+        self.peer_demand: dict[NodeId, dict[str, float]] = {}
+        self.own = OwnWork()
+        self.drain = Drain(SPREAD_S, settings.stop.entry_ttl_s, settings.stop.limit_s)
+        self.contact_at = CONTACT_NEVER
+        self.in_flight = 0
+        self._accounts = AccountIndex(self.document)
+        self._accounts_version = 0
+
+    @property
+    def document(self) -> Document:
+        """The configuration document in force on this node."""
+        return self.tail.state.config.document
+
+    @property
+    def accounts(self) -> AccountIndex:
+        """Index of the client accounts in force."""
+        version = self.tail.state.config.version
+        if version != self._accounts_version:
+            self._accounts = AccountIndex(self.document)
+            self._accounts_version = version
+        return self._accounts
+
+    def new_id(self) -> str:
+        """Return an identifier that no other node or incarnation uses."""
+        return uuid.uuid4().hex[:16]
+
+    def record_id(self, kind: str) -> RecordId:
+        """Return a fresh record id."""
+        return RecordId(f"{kind}-{self.id}-{self.new_id()}")
+
+    def submit(self, record: Record, timeout_s: float, done: Callable[[Settled], None]) -> bool:
+        """Queue a record for the log."""
+        return self.outbox.submit(record, self.clock.now(), timeout_s, done)
+
+    def in_contact(self, now: float) -> bool:
+        """Whether the folded state is recent enough for non-idempotent requests."""
+        return now - self.contact_at <= self.settings.timing.contact_lost_s
+
+    def group_view(self, group: Group, now: float) -> GroupView | None:
+        """Return what is known of a group: the newer of own probes and peers' word."""
+        own = self._own_view(group, now)
+        relayed = self.relayed.get(group.id)
+        if relayed is not None and relayed.generation != group.generation:
+            relayed = None
+        if own is None or relayed is None:
+            return own or relayed
+        newest = max(own, relayed, key=lambda view: view.load_at)
+        return GroupView(
+            group.id,
+            group.generation,
+            max(own.present_at, relayed.present_at),
+            max(own.absent_at, relayed.absent_at),
+            newest.load,
+            newest.load_at,
+        )
+
+    def group_ready(self, group: Group, now: float) -> bool:
+        """Whether a group may serve."""
+        if group.phase is not GroupPhase.FORMED:
+            return False
+        view = self.group_view(group, now)
+        return view is not None and view.usable(now, self.settings.timing.presence_ttl_s)
+
+    def own_view(self, group: Group, now: float) -> GroupView | None:
+        """Return what this node's own probes say of a group."""
+        return self._own_view(group, now)
+
+    def _own_view(self, group: Group, now: float) -> GroupView | None:
+        rows = [self.presence.get(member.instance) for member in group.members]
+        known = [row for row in rows if row is not None]
+        if not known:
+            return None
+        ttl_s = self.settings.timing.presence_ttl_s
+        head = rows[0] or known[0]
+        readiness = group_readiness(group, self.presence, now, ttl_s)
+        oldest = min(row.as_of for row in known) if len(known) == len(rows) else CONTACT_NEVER
+        newest = max(row.as_of for row in known)
+        present_at = oldest if readiness.ready else CONTACT_NEVER
+        absent_at = CONTACT_NEVER if readiness.ready else newest
+        return GroupView(
+            group.id, group.generation, present_at, absent_at, head.report.load, head.as_of
+        )
+
+    def group_candidates(self, model: str, adapter: str | None, now: float) -> list[Candidate]:
+        """Return the ready groups that hold a model and adapter."""
+        found = []
+        for group in self.tail.state.groups.values():
+            if group.spec.model != model:
+                continue
+            if adapter is not None and adapter not in dict(group.spec.adapters):
+                continue
+            if not self.group_ready(group, now) or self._has_leaving_member(group):
+                continue
+            view = self.group_view(group, now)
+            assert view is not None
+            found.append(self._group_candidate(group, view.load, view.load_at))
+        return found
+
+    def server_candidates(self, service: str) -> list[Candidate]:
+        """Return the live servers of a plain service."""
+        found = []
+        for row in self.fleet.values():
+            if row.service != service or row.state is not InstanceState.LIVE:
+                continue
+            target = Target(TargetKind.SERVER, row.instance, row.address)
+            found.append(Candidate(target, 0.0, CONTACT_NEVER, self._distance(row.data_centre)))
+        return found
+
+    def live_peers(self) -> Iterable[Node]:
+        """Return the other nodes in the folded state."""
+        return [node for node in self.tail.state.nodes.values() if node.id != self.id]
+
+    def account_share(self, account: str, now: float) -> float:
+        """Return this node's part of an account's limits.
+
+        Half of the limit is split evenly, so that every node can begin to serve
+        an account at once; the other half follows the demand that nodes report.
+        """
+        alive = self.peers.alive(now, self.settings.timing.peer_dead_s)
+        even = 1.0 / (1 + len(alive))
+        mine = self.limiter.demand().get(account, 0.0)
+        others = sum(self.peer_demand.get(node, {}).get(account, 0.0) for node in alive)
+        demanded = mine / (mine + others) if mine + others > 0 else even
+        return 0.5 * even + 0.5 * demanded
+
+    def _group_candidate(self, group: Group, load: EngineLoad, load_at: float) -> Candidate:
+        head = group.members[0]
+        target = Target(TargetKind.GROUP, head.instance, head.address, group.id, group.generation)
+        return Candidate(
+            target, load.running + load.queued, load_at, self._distance(group.data_centre)
+        )
+
+    def _has_leaving_member(self, group: Group) -> bool:
+        rows = (self.fleet.get(member.instance) for member in group.members)
+        return any(row is not None and row.state is InstanceState.LEAVING for row in rows)
+
+    def _distance(self, data_centre: DataCentre) -> float:
+        return 0.0 if data_centre == self.data_centre else OTHER_DATA_CENTRE_S
+
+
+def parse_address(text: str) -> Address | None:
+    """Return the address in `text`, None if it is malformed."""
+    try:
+        return Address.parse(text)
+    except ValueError:
+        return None
--- /dev/null
+++ b/briarpond/daemon/_operators.py
@@ -0,0 +1,310 @@
+"""Paths for operators: configuration, groups, nodes, audit trail, drain, metrics."""
+
+import hashlib
+import hmac
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from circuits.web.wrappers import Request
+
+from briarpond.audit import AuditLine, audit_lines, changes_since
+from briarpond.ids import OperatorName
+from briarpond.journal import GroupPhase, OperatorAction, PatchSubmit, Settled
+
+from ._inbound import Reply
+from ._logs import log_event
+from ._node import NodeContext
+
+PATCH_TIMEOUT_S = 8.0
+DEFAULT_AUDIT_LINES = 50
+MAX_AUDIT_LINES = 2048
+
+
+class PatchRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operator/patches``."""
+
+    base_version: int
+    patch: Any
+
+
+class ChangeRow(msgspec.Struct):
+    """A change that a stale patch did not know of."""
+
+    version: int
+    actor: str
+    paths: str
+
+
+class PatchAnswer(msgspec.Struct):
+    """Verdict on a patch; `verdict` is ``unknown`` if the log did not answer."""
+
+    verdict: str
+    version: int
+    detail: str
+    record: str
+    changes: list[ChangeRow] = []
+
+
+class ConfigurationAnswer(msgspec.Struct):
+    """The configuration in force on this node."""
+
+    version: int
+    document: Any
+
+
+class MemberRow(msgspec.Struct):
+    """One member of a group."""
+
+    instance: str
+    address: str
+    incarnation: str
+
+
+class GroupRow(msgspec.Struct):
+    """One group as this node sees it."""
+
+    group: str
+    deployment: str
+    data_centre: str
+    domain: str
+    generation: int
+    phase: str
+    ready: bool
+    model: str
+    version: str
+    members: list[MemberRow]
+
+
+class NodeRow(msgspec.Struct):
+    """One node as this node sees it."""
+
+    node: str
+    incarnation: str
+    data_centre: str
+    callers: str
+    peers: str
+    stage: str
+    heard_s: float | None
+
+
+class StatusAnswer(msgspec.Struct):
+    """State of this node."""
+
+    node: str
+    incarnation: str
+    stage: str
+    log: str
+    folded_offset: int
+    behind: int
+    config_version: int
+    in_flight: int
+    in_contact: bool
+    superseded: bool
+
+
+class GroupsAnswer(msgspec.Struct):
+    """All groups."""
+
+    groups: list[GroupRow]
+
+
+class NodesAnswer(msgspec.Struct):
+    """All nodes."""
+
+    nodes: list[NodeRow]
+
+
+class AuditAnswer(msgspec.Struct):
+    """Lines of the audit trail, oldest first."""
+
+    lines: list[AuditLine]
+
+
+class Problem(msgspec.Struct):
+    """Error for an operator."""
+
+    error: str
+    hint: str
+
+
+class OperatorDesk:
+    """Takes requests of operators."""
+
+    def __init__(
+        self, node: NodeContext, drain: Callable[[], None], superseded: Callable[[], bool]
+    ) -> None:
+        self._node = node
+        self._drain = drain
+        self._superseded = superseded
+
+    def handle(self, request: Request, reply: Reply) -> None:
+        """Handle one request."""
+        if request.method == "GET" and request.path == "/metrics":
+            self._metrics(request, reply)
+            return
+        actor = self._authenticate(request)
+        if actor is None:
+            self._problem(reply, 401, "Unknown operator key.", "Give the key with --key-file.")
+            return
+        match request.method, request.path:
+            case "GET", "/operator/configuration":
+                self._configuration(reply)
+            case "POST", "/operator/patches":
+                self._patch(actor, request, reply)
+            case "GET", "/operator/groups":
+                self._groups(reply)
+            case "GET", "/operator/nodes":
+                self._nodes(reply)
+            case "GET", "/operator/audit":
+                self._audit(request, reply)
+            case "GET", "/operator/status":
+                self._status(reply)
+            case "POST", "/operator/drain":
+                self._begin_drain(actor, reply)
+            case _:
+                self._problem(reply, 404, "No such path.", "See docs/ref/http.md.")
+
+    def _authenticate(self, request: Request) -> OperatorName | None:
+        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+        if scheme.lower() != "bearer":
+            return None
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        for operator in self._node.settings.operators:
+            if hmac.compare_digest(operator.key_sha256, digest):
+                return OperatorName(operator.name)
+        return None
+
+    def _configuration(self, reply: Reply) -> None:
+        config = self._node.tail.state.config
+        document = config.document.model_dump(mode="json")
+        self._json(reply, 200, ConfigurationAnswer(config.version, document))
+
+    def _patch(self, actor: OperatorName, request: Request, reply: Reply) -> None:
+        node = self._node
+        try:
+            body = msgspec.json.decode(request.body.read(), type=PatchRequest)
+        except (msgspec.MsgspecError, RecursionError) as exc:
+            self._problem(reply, 400, f"The body is not accepted: {exc}.", "See docs/ref/http.md.")
+            return
+        record = PatchSubmit(
+            node.record_id("patch"), actor, body.base_version, body.patch, _wall_ms()
+        )
+
+        def settled(result: Settled) -> None:
+            self._answer_patch(body.base_version, record, result, reply)
+
+        if not node.submit(record, PATCH_TIMEOUT_S, settled):
+            self._problem(reply, 503, "Too many records wait for the log.", "Try again later.")
+
+    def _answer_patch(
+        self, base_version: int, record: PatchSubmit, result: Settled, reply: Reply
+    ) -> None:
+        if reply.ended:
+            return
+        node = self._node
+        version = node.tail.state.config.version
+        verdict = result.verdict
+        if verdict is None:
+            word = "unknown" if result.appended else "not-submitted"
+            detail = "The platform's log did not answer in time."
+            answer = PatchAnswer(word, version, detail, record.id)
+            self._json(reply, 503, answer)
+            return
+        answer = PatchAnswer(verdict.code.value, verdict.version, verdict.detail, record.id)
+        if not verdict.accepted:
+            answer.changes = [
+                ChangeRow(change.version, change.actor, change.paths)
+                for change in changes_since(node.tail.state, base_version)
+            ]
+        log_event("patch", actor=record.actor, verdict=answer.verdict, version=answer.version)
+        self._json(reply, 200 if verdict.accepted else 409, answer)
+
+    def _groups(self, reply: Reply) -> None:
+        node = self._node
+        now = node.clock.now()
+        rows = [
+            GroupRow(
+                group.id,
+                group.deployment,
+                group.data_centre,
+                group.domain,
+                group.generation,
+                group.phase.value,
+                group.phase is GroupPhase.FORMED and node.group_ready(group, now),
+                group.spec.model,
+                group.spec.version,
+                [
+                    MemberRow(member.instance, member.address, member.incarnation)
+                    for member in group.members
+                ],
+            )
+            for group in sorted(node.tail.state.groups.values(), key=lambda group: group.id)
+        ]
+        self._json(reply, 200, GroupsAnswer(rows))
+
+    def _nodes(self, reply: Reply) -> None:
+        node = self._node
+        now = node.clock.now()
+        rows = []
+        for other in sorted(node.tail.state.nodes.values(), key=lambda other: other.id):
+            view = node.peers.get(other.id)
+            heard_s = 0.0 if other.id == node.id else now - view.heard_at if view else None
+            rows.append(
+                NodeRow(
+                    other.id,
+                    other.incarnation,
+                    other.data_centre,
+                    other.callers,
+                    other.peers,
+                    other.stage.value,
+                    heard_s,
+                )
+            )
+        self._json(reply, 200, NodesAnswer(rows))
+
+    def _audit(self, request: Request, reply: Reply) -> None:
+        text = (request.qs or "").removeprefix("limit=")
+        limit = int(text) if text.isascii() and text.isdigit() else DEFAULT_AUDIT_LINES
+        lines = audit_lines(self._node.tail.state, min(limit, MAX_AUDIT_LINES))
+        self._json(reply, 200, AuditAnswer(lines))
+
+    def _status(self, reply: Reply) -> None:
+        node = self._node
+        answer = StatusAnswer(
+            node.id,
+            node.incarnation,
+            node.drain.stage.value,
+            node.tail.status.value,
+            node.tail.folded_offset,
+            node.tail.behind(),
+            node.tail.state.config.version,
+            node.in_flight,
+            node.in_contact(node.clock.now()),
+            self._superseded(),
+        )
+        self._json(reply, 200, answer)
+
+    def _begin_drain(self, actor: OperatorName, reply: Reply) -> None:
+        node = self._node
+        record = OperatorAction(node.record_id("action"), actor, "drain", node.id, _wall_ms())
+        node.submit(record, PATCH_TIMEOUT_S, lambda result: None)
+        if not node.drain.leaving:
+            self._drain()
+        self._status(reply)
+
+    def _metrics(self, request: Request, reply: Reply) -> None:
+        body, headers = self._node.metrics.render(request.headers.get("Accept", ""))
+        reply.whole(200, tuple(headers.items()), body)
+
+    def _problem(self, reply: Reply, status: int, error: str, hint: str) -> None:
+        self._json(reply, status, Problem(error, hint))
+
+    def _json(self, reply: Reply, status: int, body: msgspec.Struct) -> None:
+        reply.whole(status, (("Content-Type", "application/json"),), msgspec.json.encode(body))
+
+
+def _wall_ms() -> int:
+    """Return the wall-clock time for the audit trail; nothing is decided by it."""
+    return int(time.time() * 1000)
--- /dev/null
+++ b/briarpond/daemon/_runner.py
@@ -0,0 +1,339 @@
+"""Carries out the effects of one request machine on real connections."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from briarpond.ids import AttemptId
+from briarpond.journal import KeyClaim, Settled
+from briarpond.platform import (
+    GENERATION_HEADER,
+    NOT_RUN_HEADER,
+    PRIORITY_HEADER,
+    REQUEST_HEADER,
+    RESUME_HEADER,
+)
+from briarpond.requests import (
+    CancelAttempt,
+    Claim,
+    ClaimResult,
+    Confirm,
+    Dispatch,
+    Effect,
+    KeyEntry,
+    KeyState,
+    LossReason,
+    Outcome,
+    Refusal,
+    ReplyData,
+    ReplyEnd,
+    ReplyHead,
+    ReplyRefusal,
+    RequestKind,
+    RequestMachine,
+    Target,
+)
+
+from ._fleet_link import FleetLink
+from ._http_client import Exchange, Headers, HttpCall
+from ._inbound import Reply
+from ._node import NodeContext, parse_address
+
+CLAIM_TIMEOUT_S = 3.0
+OUTCOME_HEADER = "Briarpond-Outcome"
+NODE_HEADER = "Briarpond-Node"
+_PASSED_HEADERS = frozenset({"content-type", "cache-control", "content-disposition", "location"})
+
+
+class Submission(msgspec.Struct):
+    """What a caller sent, as it goes on to a backend server."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    priority: int
+    digest: str
+
+
+class Runner:
+    """One request between its caller and the attempts made for it."""
+
+    def __init__(
+        self,
+        node: NodeContext,
+        fleet: FleetLink,
+        machine: RequestMachine,
+        submission: Submission,
+        reply: Reply,
+        on_done: Callable[["Runner"], None],
+    ) -> None:
+        self.machine = machine
+        self.started_at = node.clock.now()
+        self._node = node
+        self._fleet = fleet
+        self._submission = submission
+        self._reply = reply
+        self._on_done = on_done
+        self._exchange: Exchange | None = None
+        self._paused = False
+        self._instance: str | None = None
+        self._head: ReplyHead | None = None
+        self._kept = b""
+
+    def start(self) -> None:
+        """Begin."""
+        self._reply.on_gone = self._on_caller_gone
+        self._reply.on_drained = self._on_drained
+        self.run(self.machine.start(self._now()))
+
+    def tick(self) -> None:
+        """Let the machine enforce its times."""
+        self.run(self.machine.on_tick(self._now()))
+
+    def stop(self) -> None:
+        """End now with the true outcome."""
+        self.run(self.machine.on_stop(self._now()))
+
+    def run(self, effects: list[Effect]) -> None:
+        """Carry out effects in order."""
+        for effect in effects:
+            match effect:
+                case ReplyData(data=data):
+                    self._on_reply_data(data)
+                case Dispatch():
+                    self._dispatch(effect)
+                case CancelAttempt():
+                    self._end_exchange(cancel=True)
+                case Confirm():
+                    self._confirm(effect)
+                case Claim():
+                    self._claim(effect)
+                case ReplyHead():
+                    self._on_reply_head(effect)
+                case ReplyEnd():
+                    self._on_reply_end()
+                case ReplyRefusal():
+                    self._refuse(effect)
+        if self.machine.done and self._on_done is not None:
+            self._close()
+
+    def _now(self) -> float:
+        return self._node.clock.now()
+
+    def _claim(self, effect: Claim) -> None:
+        node = self._node
+        key = effect.key
+        node.ledger.put(key, KeyEntry(KeyState.RUNNING, self._submission.digest))
+        claim = node.tail.state.claims.get(key)
+        if claim is not None:
+            assert claim.incarnation == node.incarnation, "only the owner runs a key"
+            node.clock.after(0.0, lambda: self._claimed(ClaimResult.WON))
+            return
+        record = KeyClaim(
+            node.record_id("claim"),
+            key,
+            self.machine.plan.account,
+            node.id,
+            node.incarnation,
+            self._submission.digest,
+        )
+
+        def settled(result: Settled) -> None:
+            won = node.tail.state.claims.get(key)
+            mine = won is not None and won.incarnation == node.incarnation
+            self._claimed(ClaimResult.WON if mine else ClaimResult.UNAVAILABLE)
+
+        if not node.submit(record, CLAIM_TIMEOUT_S, settled):
+            node.clock.after(0.0, lambda: self._claimed(ClaimResult.UNAVAILABLE))
+
+    def _claimed(self, result: ClaimResult) -> None:
+        self.run(self.machine.on_claim(result, self._now()))
+
+    def _confirm(self, effect: Confirm) -> None:
+        def done(ready: bool) -> None:
+            self.run(self.machine.on_confirmed(effect.attempt, ready, self._now()))
+
+        self._fleet.confirm(effect.target, done)
+
+    def _dispatch(self, effect: Dispatch) -> None:
+        node = self._node
+        self._end_exchange(cancel=False)
+        address = parse_address(effect.target.address)
+        if address is None:
+            node.clock.after(0.0, lambda: self._lost(effect.attempt, LossReason.CONNECT_FAILED))
+            return
+        attempt = effect.attempt
+        kind = "first" if self.machine.attempts == 1 else "retry"
+        node.metrics.attempts.inc({"kind": kind})
+        self._begin_work(effect.target)
+        submission = self._submission
+        call = HttpCall(
+            address,
+            submission.method,
+            submission.target,
+            (*submission.headers, *self._engine_headers(effect)),
+            submission.body,
+            lambda status, headers: self._got_head(attempt, status, headers),
+            lambda data: self.run(self.machine.on_body(attempt, data, self._now())),
+            lambda: self._ended(attempt),
+            lambda reason: self._lost(attempt, reason),
+            lambda: self.machine.on_sent(attempt, self._now()),
+            reuse=self.machine.plan.idempotent,
+            connect_s=node.settings.timing.connect_s,
+        )
+        self._exchange = node.client.start(call)
+
+    def _engine_headers(self, effect: Dispatch) -> Headers:
+        headers: Headers = (
+            (REQUEST_HEADER, effect.attempt),
+            (PRIORITY_HEADER, str(self._submission.priority)),
+        )
+        if effect.target.generation:
+            headers += ((GENERATION_HEADER, str(effect.target.generation)),)
+        if effect.resume_events:
+            headers += ((RESUME_HEADER, str(effect.resume_events)),)
+        return headers
+
+    def _got_head(self, attempt: AttemptId, status: int, headers: Headers) -> None:
+        not_run = any(name == NOT_RUN_HEADER for name, _ in headers)
+        passed = tuple((name, value) for name, value in headers if name in _PASSED_HEADERS)
+        self.run(self.machine.on_head(attempt, status, passed, not_run, self._now()))
+
+    def _ended(self, attempt: AttemptId) -> None:
+        self._end_exchange(cancel=False)
+        self.run(self.machine.on_end(attempt, self._now()))
+
+    def _lost(self, attempt: AttemptId, reason: LossReason) -> None:
+        self._end_exchange(cancel=False)
+        self.run(self.machine.on_lost(attempt, reason, self._now()))
+
+    def _on_caller_gone(self) -> None:
+        self.run(self.machine.on_caller_gone(self._now()))
+
+    def _begin_work(self, target: Target) -> None:
+        self._instance = target.instance
+        self._node.own.begin(target.instance, self._now())
+
+    def _end_exchange(self, cancel: bool) -> None:
+        if cancel and self._exchange is not None:
+            self._exchange.cancel()
+        self._exchange = None
+        self._paused = False
+        if self._instance is not None:
+            self._node.own.end(self._instance, self._now())
+            self._instance = None
+
+    def _on_reply_head(self, effect: ReplyHead) -> None:
+        self._head = effect
+        if effect.streamed:
+            self._reply.start(effect.status, (*effect.headers, *self._outcome(effect.outcome)))
+
+    def _on_reply_data(self, data: bytes) -> None:
+        assert self._head is not None
+        if not self._head.streamed:
+            self._kept = data
+            return
+        self._reply.write(data)
+        limit = self._node.settings.limits.write_buffer_bytes
+        if not self._paused and self._exchange is not None and self._reply.buffered > limit:
+            self._paused = True
+            self._exchange.pause()
+
+    def _on_drained(self) -> None:
+        if self._paused and self._exchange is not None:
+            self._paused = False
+            self._exchange.resume()
+
+    def _on_reply_end(self) -> None:
+        head = self._head
+        assert head is not None
+        if head.streamed:
+            self._reply.end()
+            return
+        headers = (*head.headers, *self._outcome(head.outcome))
+        self._remember_answer(head)
+        self._reply.whole(head.status, headers, self._kept)
+
+    def _remember_answer(self, head: ReplyHead) -> None:
+        key = self.machine.plan.key
+        if key is None:
+            return
+        content_type = dict(head.headers).get("content-type", "application/json")
+        entry = KeyEntry(
+            KeyState.ANSWERED, self._submission.digest, head.status, content_type, self._kept
+        )
+        self._node.ledger.put(key, entry)
+
+    def _refuse(self, effect: ReplyRefusal) -> None:
+        refusal = effect.refusal
+        self._node.metrics.refusals.inc({"code": refusal.code.value})
+        if not effect.in_stream:
+            refuse(self._node, self._reply, refusal)
+            return
+        body = msgspec.json.encode(_error_body(refusal, self._node.id))
+        self._reply.write(b"data: " + body + b"\n\n")
+        self._reply.end()
+
+    def _outcome(self, outcome: Outcome) -> Headers:
+        return ((OUTCOME_HEADER, outcome.value), (NODE_HEADER, self._node.id))
+
+    def _close(self) -> None:
+        self._end_exchange(cancel=False)
+        self._settle_key()
+        done, self._on_done = self._on_done, None
+        done(self)
+
+    def _settle_key(self) -> None:
+        key = self.machine.plan.key
+        entry = self._node.ledger.get(key) if key is not None else None
+        if key is None or entry is None or entry.state is not KeyState.RUNNING:
+            return
+        ended = KeyState.UNKNOWN
+        if self.machine.outcome is Outcome.NOT_RUN:
+            ended = KeyState.NOT_RUN
+        self._node.ledger.put(key, KeyEntry(ended, self._submission.digest))
+
+
+class ErrorDetail(msgspec.Struct):
+    """Error in the shape that clients of model APIs expect."""
+
+    message: str
+    type: str
+    param: str | None
+    code: str
+
+
+class ErrorBody(msgspec.Struct):
+    """Body of a refusal."""
+
+    error: ErrorDetail
+    outcome: str
+    node: str
+
+
+def refuse(node: NodeContext, reply: Reply, refusal: Refusal) -> None:
+    """Answer with a refusal, its outcome and when to try again."""
+    headers: Headers = (
+        ("Content-Type", "application/json"),
+        (OUTCOME_HEADER, refusal.outcome.value),
+        (NODE_HEADER, node.id),
+    )
+    if refusal.retry_after_s > 0:
+        headers += (("Retry-After", str(max(1, round(refusal.retry_after_s)))),)
+    if not node.drain.accepts:
+        reply.close_after()
+    reply.whole(refusal.status, headers, msgspec.json.encode(_error_body(refusal, node.id)))
+
+
+def _error_body(refusal: Refusal, node_id: str) -> ErrorBody:
+    kind = "invalid_request_error" if refusal.status < 500 else "server_error"
+    if refusal.status == 429:
+        kind = "rate_limit_error"
+    detail = ErrorDetail(refusal.message, kind, None, refusal.code.value)
+    return ErrorBody(detail, refusal.outcome.value, node_id)
+
+
+def kind_of(stream: bool) -> RequestKind:
+    """Return the kind of a model request."""
+    return RequestKind.MODEL_STREAM if stream else RequestKind.MODEL_WHOLE
--- /dev/null
+++ b/briarpond/journal/__init__.py
@@ -0,0 +1,78 @@
+"""Records on the platform's log, and the fold that decides what they mean."""
+
+from ._codec import decode_entry, encode_entry
+from ._exceptions import JournalProblem, JournalProblemCode
+from ._fold import apply
+from ._models import (
+    Claim,
+    Entry,
+    Group,
+    GroupDissolve,
+    GroupForm,
+    GroupPhase,
+    GroupRetire,
+    GroupSpec,
+    KeyClaim,
+    Lease,
+    LeaseTake,
+    LogEntry,
+    Member,
+    Node,
+    NodeJoin,
+    NodeLeave,
+    NodeRemove,
+    NodeStage,
+    OperatorAction,
+    PatchSubmit,
+    Record,
+    SnapshotPart,
+    Verdict,
+    VerdictCode,
+)
+from ._outbox import Outbox, Settled
+from ._snapshot import SnapshotAssembler, decode_snapshot, encode_snapshot, split_snapshot
+from ._state import AuditEntry, State
+from ._tail import Page, Tail, TailStatus
+
+__all__ = [
+    "AuditEntry",
+    "Claim",
+    "Entry",
+    "Group",
+    "GroupDissolve",
+    "GroupForm",
+    "GroupPhase",
+    "GroupRetire",
+    "GroupSpec",
+    "JournalProblem",
+    "JournalProblemCode",
+    "KeyClaim",
+    "Lease",
+    "LeaseTake",
+    "LogEntry",
+    "Member",
+    "Node",
+    "NodeJoin",
+    "NodeLeave",
+    "NodeRemove",
+    "NodeStage",
+    "OperatorAction",
+    "Outbox",
+    "Page",
+    "PatchSubmit",
+    "Record",
+    "Settled",
+    "SnapshotAssembler",
+    "SnapshotPart",
+    "State",
+    "Tail",
+    "TailStatus",
+    "Verdict",
+    "VerdictCode",
+    "apply",
+    "decode_entry",
+    "decode_snapshot",
+    "encode_entry",
+    "encode_snapshot",
+    "split_snapshot",
+]
--- /dev/null
+++ b/briarpond/requests/__init__.py
@@ -0,0 +1,56 @@
+"""Requests of callers: attempts, outcomes and idempotency keys."""
+
+from ._effects import (
+    CancelAttempt,
+    Claim,
+    Confirm,
+    Dispatch,
+    Effect,
+    ReplyData,
+    ReplyEnd,
+    ReplyHead,
+    ReplyRefusal,
+)
+from ._keys import KeyEntry, KeyLedger, KeyState, key_digest
+from ._machine import RequestMachine
+from ._models import (
+    ClaimResult,
+    LossReason,
+    Outcome,
+    Refusal,
+    RefusalCode,
+    RequestKind,
+    RequestPlan,
+    Target,
+    TargetKind,
+)
+from ._retries import RetryBudget
+from ._stream import EventSplitter
+
+__all__ = [
+    "CancelAttempt",
+    "Claim",
+    "ClaimResult",
+    "Confirm",
+    "Dispatch",
+    "Effect",
+    "EventSplitter",
+    "KeyEntry",
+    "KeyLedger",
+    "KeyState",
+    "LossReason",
+    "Outcome",
+    "Refusal",
+    "RefusalCode",
+    "ReplyData",
+    "ReplyEnd",
+    "ReplyHead",
+    "ReplyRefusal",
+    "RequestKind",
+    "RequestMachine",
+    "RequestPlan",
+    "RetryBudget",
+    "Target",
+    "TargetKind",
+    "key_digest",
+]
--- /dev/null
+++ b/tests/daemon/test_path.py
@@ -0,0 +1,92 @@
+"""The whole path in real processes: callers, operators, platform stand-ins."""
+
+import openai
+import pytest
+
+from tests.standins.deployment import (
+    CALLER_KEY,
+    Deployment,
+    call,
+    first_document,
+    wait_until,
+)
+
+CHAT = {
+    "model": "briar-7b",
+    "max_tokens": 5,
+    "messages": [{"role": "user", "content": "Mark crate 12."}],
+}
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory):
+    with Deployment(tmp_path_factory.mktemp("path")) as running:
+        answer = wait_until(lambda: running.configure(first_document({"hobart-a": 1})))
+        assert answer.json()["verdict"] == "accepted"
+        running.wait_ready(1)
+        yield running
+
+
+def test_every_node_streams_whole_answers(deployment):
+    for node in deployment.nodes.values():
+        answer = call(node.callers, "POST", "/v1/chat/completions", CHAT | {"stream": True})
+        assert answer.status == 200
+        assert answer.outcome == "answered"
+        assert answer.body.count(b"data: ") == 7
+        assert answer.body.endswith(b"data: [DONE]\n\n")
+
+
+def test_published_client_library(deployment):
+    node = next(iter(deployment.nodes.values()))
+    with openai.OpenAI(
+        base_url=f"http://127.0.0.1:{node.callers}/v1", api_key=CALLER_KEY, max_retries=0
+    ) as client:
+        assert [row.id for row in client.models.list()] == ["briar-7b", "briar-7b:labels"]
+        whole = client.chat.completions.create(**CHAT)
+        streamed = client.chat.completions.create(**CHAT, stream=True)
+        text = "".join(chunk.choices[0].delta.content or "" for chunk in streamed)
+        assert whole.choices[0].message.content == text
+        with pytest.raises(openai.NotFoundError) as caught:
+            client.chat.completions.create(**CHAT | {"model": "other"})
+        assert caught.value.code == "model_not_found"
+    with (
+        openai.OpenAI(
+            base_url=f"http://127.0.0.1:{node.callers}/v1", api_key="wrong", max_retries=0
+        ) as stranger,
+        pytest.raises(openai.AuthenticationError),
+    ):
+        stranger.models.list()
+
+
+def test_non_idempotent_order_runs_once(deployment):
+    node = next(iter(deployment.nodes.values()))
+    answer = call(node.callers, "POST", "/services/cutdesk/orders", {"order": "once"})
+    assert (answer.status, answer.outcome) == (200, "answered")
+    assert deployment.service_runs()["once"] == 1
+
+
+def test_stale_patch_names_what_changed(deployment):
+    version = deployment.operator("hobart-a-n1", "GET", "/operator/configuration").json()["version"]
+    patch = {"accounts": {"wren": {"weight": 2.0}}}
+    assert deployment.configure(patch, version).status == 200
+    refused = deployment.configure(patch, version)
+    assert refused.status == 409
+    assert refused.json()["verdict"] == "stale"
+    assert refused.json()["changes"][-1]["paths"] == "accounts.wren.weight"
+
+
+def test_credentials_are_kept_apart(deployment):
+    node = deployment.nodes["hobart-a-n1"]
+    assert call(node.operators, "GET", "/operator/groups").status == 401
+    assert call(node.callers, "GET", "/v1/models", key="ada-operator-key").status == 401
+    assert call(node.callers, "GET", "/operator/groups").status == 404
+
+
+def test_bad_input_is_refused_with_a_reason(deployment):
+    port = deployment.nodes["hobart-a-n1"].callers
+    for body in ([], {"model": 3}, {"messages": []}):
+        answer = call(port, "POST", "/v1/chat/completions", body)
+        assert (answer.status, answer.outcome) == (400, "not-run")
+        assert answer.json()["error"]["code"] == "invalid_body"
+    answer = call(port, "POST", "/services/cutdesk/x", {}, Briarpond_Deadline_Ms="soon")
+    assert (answer.status, answer.outcome) == (400, "not-run")
--- /dev/null
+++ b/tests/standins/__main__.py
@@ -0,0 +1,88 @@
+"""Command line of the stand-ins: ``python -m tests.standins log --port 9001``."""
+
+import signal
+import sys
+from pathlib import Path
+
+import msgspec
+from circuits.core.pollers import EPoll
+from cyclopts import App as CommandLine
+
+from briarpond.daemon._clock import Clock
+from briarpond.platform import FleetList
+
+from .engines import Engine, EngineFleet, EngineSettings
+from .log import LogStandIn
+from .service import ServiceStandIn
+from .web import serve
+
+command_line = CommandLine(name="standins", help="Stand-ins for the platform.")
+
+
+def _loop() -> Clock:
+    clock = Clock()
+    clock += EPoll()
+    return clock
+
+
+def _run(clock: Clock) -> None:
+    def take_signals() -> None:
+        signal.signal(signal.SIGTERM, lambda *_: clock.stop())
+
+    clock.after(0.0, take_signals)
+    clock.run()
+
+
+@command_line.command
+def log(port: int, retention: int = 100_000) -> None:
+    """Run the append-only log."""
+    clock = _loop()
+    stand_in = LogStandIn(clock, retention)
+    serve(clock, port, stand_in.handle)
+    _run(clock)
+
+
+@command_line.command
+def fleet(port: int, list_file: Path, lag_s: float = 0.0) -> None:
+    """Run the lagging list of instances."""
+    from .instances import ListStandIn
+
+    rows = msgspec.json.decode(list_file.read_bytes(), type=FleetList)
+    clock = _loop()
+    stand_in = ListStandIn(clock, rows, lag_s)
+    serve(clock, port, stand_in.handle)
+    _run(clock)
+
+
+@command_line.command
+def engines(
+    port: int,
+    list_file: Path,
+    pace_s: float = 0.01,
+    load_s: float = 0.3,
+    prefill_s: float = 0.01,
+    load_lag_s: float = 0.5,
+) -> None:
+    """Run all engines of the list in one process, each on a port of its own."""
+    rows = msgspec.json.decode(list_file.read_bytes(), type=FleetList)
+    clock = _loop()
+    settings = EngineSettings(pace_s, load_s, prefill_s, load_lag_s)
+    engine_fleet = EngineFleet(clock)
+    for row in rows.instances:
+        if row.service.endswith("-llm") or row.service.endswith("-pool"):
+            engine = Engine(clock, engine_fleet, row, settings)
+            serve(clock, int(row.address.rpartition(":")[2]), engine.handle)
+    serve(clock, port, engine_fleet.control)
+    _run(clock)
+
+
+@command_line.command
+def service(port: int, instance: str, work_s: float = 0.01) -> None:
+    """Run one server of a plain service."""
+    clock = _loop()
+    serve(clock, port, ServiceStandIn(clock, instance, work_s).handle)
+    _run(clock)
+
+
+if __name__ == "__main__":
+    sys.exit(command_line())
--- /dev/null
+++ b/tests/standins/demo.py
@@ -0,0 +1,126 @@
+"""The main job, shown: stand-ins, three daemons, requests, patches, a graceful stop."""
+
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+from pathlib import Path
+
+from .deployment import (
+    CALLER_KEY,
+    OPERATOR_KEY,
+    ROOT,
+    Deployment,
+    call,
+    first_document,
+    wait_until,
+)
+
+
+def main() -> None:
+    """Run the demonstration and stop everything again."""
+    with (
+        tempfile.TemporaryDirectory(prefix="briarpond-demo-") as folder,
+        Deployment(Path(folder)) as deployment,
+    ):
+        _show(deployment)
+
+
+def _show(deployment: Deployment) -> None:
+    names = list(deployment.nodes)
+    first, second, third = (deployment.nodes[name] for name in names)
+    for node in deployment.nodes.values():
+        wait_until(lambda node=node: call(node.callers, "GET", "/ready", key="").status == 200)
+    _step("three daemons in three data centres are ready")
+
+    _ctl(deployment, first, ["patch", "-", "--base-version", "0"], _first_patch())
+    deployment.wait_ready(3)
+    _step("one group of four members is ready in each data centre, on all nodes")
+    _ctl(deployment, second, ["groups"])
+
+    _step("a streamed model answer")
+    chat = {
+        "model": "briar-7b",
+        "stream": True,
+        "max_tokens": 3,
+        "messages": [{"role": "user", "content": "Mark crate 12 for Oslo."}],
+    }
+    answer = call(first.callers, "POST", "/v1/chat/completions", chat)
+    print(answer.body.decode().strip())
+    print(f"outcome: {answer.outcome}")
+
+    _step("a call to a plain service")
+    answer = call(second.callers, "GET", "/services/cutdesk/boards/7")
+    print(answer.body.decode(), answer.outcome)
+
+    _step("a non-idempotent request, then the same key again on another node")
+    order = {"order": "cut-1001"}
+    key = {"Idempotency_Key": "cut-1001"}
+    for node in (second, third):
+        answer = call(node.callers, "POST", "/services/cutdesk/orders", order, **key)
+        print(answer.status, answer.body.decode(), answer.outcome)
+    print("runs at the servers:", deployment.service_runs())
+
+    _step("a patch is accepted, a stale one is refused")
+    tighter = "accounts: {lark: {requests_per_s: 500}}"
+    _ctl(deployment, third, ["patch", "-", "--base-version", "1"], tighter)
+    _ctl(deployment, first, ["patch", "-", "--base-version", "1"], tighter)
+
+    _step("the audit trail")
+    _ctl(deployment, second, ["audit", "--limit", "5"])
+
+    _step("two of three daemons are stopped in turn while an answer is streamed from each")
+    for node in (first, second):
+        _stop_under_stream(deployment, node, chat | {"max_tokens": 200})
+    answer = call(third.callers, "POST", "/v1/chat/completions", chat)
+    print(f"the third still answers: {answer.status} {answer.outcome}")
+
+
+def _stop_under_stream(deployment: Deployment, node, chat: dict) -> None:
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(call(node.callers, "POST", "/v1/chat/completions", chat))
+    )
+    thread.start()
+    wait_until(
+        lambda: deployment.operator(node.name, "GET", "/operator/status").json()["in_flight"] == 1
+    )
+    code = deployment.stop_node(node.name)
+    thread.join()
+    events = answers[0].body.count(b"data: ")
+    whole = answers[0].body.endswith(b"data: [DONE]\n\n")
+    print(f"{node.name} stopped with exit code {code}; events {events}, whole: {whole}")
+    if code != 0 or not whole:
+        sys.exit("the stop interrupted an answer")
+
+
+def _ctl(deployment: Deployment, node, args: list[str], text: str = "") -> None:
+    print(f"$ briarpondctl {' '.join(args)} --node 127.0.0.1:{node.operators}", flush=True)
+    command = [sys.executable, "-m", "briarpond.management", *args]
+    command += ["--node", f"127.0.0.1:{node.operators}"]
+    done = subprocess.run(
+        command,
+        input=text,
+        text=True,
+        cwd=ROOT,
+        env=os.environ | {"BRIARPOND_OPERATOR_KEY": OPERATOR_KEY},
+        check=False,
+    )
+    print(f"exit code {done.returncode}", flush=True)
+
+
+def _first_patch() -> str:
+    import yaml
+
+    groups = {"hobart-a": 1, "glenorchy-b": 1, "kingston-c": 1}
+    return yaml.safe_dump(first_document(groups))
+
+
+def _step(title: str) -> None:
+    print(f"\n== {title}", flush=True)
+
+
+if __name__ == "__main__":
+    print(f"callers use the key {CALLER_KEY}, operators the key {OPERATOR_KEY}")
+    main()
--- /dev/null
+++ b/tests/standins/deployment.py
@@ -0,0 +1,325 @@
+"""A small deployment on loopback: stand-ins and daemons as processes."""
+
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import yaml
+
+CALLER_KEY = "lark-caller-key"
+OTHER_CALLER_KEY = "wren-caller-key"
+OPERATOR_KEY = "ada-operator-key"
+PEER_SECRET = "a secret of at least sixteen bytes"
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def sha256(key: str) -> str:
+    """Return the digest under which settings and configuration hold a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return loopback ports that are free now."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def first_document(
+    groups: dict[str, int], group_size: int = 4, downtime_weight: float = 0.8
+) -> dict:
+    """Return a configuration with one model, one plain service and two accounts."""
+    return {
+        "deployments": {
+            "briar-pool": {
+                "service": "briar-pool",
+                "model": "briar-7b",
+                "version": "1",
+                "adapters": {"labels": "1"},
+                "group_size": group_size,
+                "groups": groups,
+            }
+        },
+        "services": {"cutdesk": {"idempotent": {"POST": False}}},
+        "accounts": {
+            "lark": {
+                "key_sha256": [sha256(CALLER_KEY)],
+                "requests_per_s": 10_000,
+                "tokens_per_s": 10_000_000,
+                "concurrency": 10_000,
+            },
+            "wren": {"key_sha256": [sha256(OTHER_CALLER_KEY)], "requests_per_s": 5},
+        },
+        "policy": {"downtime_weight": downtime_weight, "order_settle_s": 1.0},
+    }
+
+
+@dataclass
+class Answer:
+    """An HTTP answer as a caller sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self):
+        """Return the body's JSON tree."""
+        return json.loads(self.body)
+
+    @property
+    def outcome(self) -> str:
+        """What the system says became of the request."""
+        return self.headers.get("Briarpond-Outcome", "")
+
+
+def call(
+    port: int, method: str, path: str, body=None, key: str = CALLER_KEY, timeout_s=30.0, **headers
+) -> Answer:
+    """Make one HTTP call; an unanswered one raises OSError."""
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data, method=method)
+    request.add_header("Content-Type", "application/json")
+    if key:
+        request.add_header("Authorization", f"Bearer {key}")
+    for name, value in headers.items():
+        request.add_header(name.replace("_", "-"), value)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
+            return Answer(answer.status, dict(answer.headers), answer.read())
+    except urllib.error.HTTPError as exc:
+        with exc:
+            return Answer(exc.code, dict(exc.headers), exc.read())
+
+
+def wait_until(check, timeout_s: float = 30.0, what: str = "condition"):
+    """Poll `check` until it gives a true value; a failing call counts as not yet."""
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        try:
+            value = check()
+        except OSError:
+            value = None
+        if value:
+            return value
+        time.sleep(0.05)
+    raise AssertionError(f"{what} not reached within {timeout_s} s")
+
+
+@dataclass
+class NodeProcess:
+    """One daemon."""
+
+    name: str
+    callers: int
+    operators: int
+    peers: int
+    settings: Path
+    process: subprocess.Popen | None = None
+
+
+@dataclass
+class Deployment:
+    """Processes of one deployment; use it as a context manager."""
+
+    folder: Path
+    data_centres: tuple[str, ...] = ("hobart-a", "glenorchy-b", "kingston-c")
+    engines_per_data_centre: int = 4
+    domains_per_data_centre: int = 1
+    services: int = 2
+    fencing: bool = True
+    nodes_per_data_centre: int = 1
+    timing: dict = field(default_factory=dict)
+    stop: dict = field(default_factory=lambda: {"entry_ttl_s": 1.0, "limit_s": 30.0})
+    engine_args: dict = field(default_factory=dict)
+    retention: int = 100_000
+    nodes: dict[str, NodeProcess] = field(default_factory=dict)
+    processes: list[subprocess.Popen] = field(default_factory=list)
+    service_ports: dict[str, int] = field(default_factory=dict)
+
+    def __enter__(self) -> "Deployment":
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.log_port, self.list_port, self.engines_port = free_ports(3)
+        self.list_file = self.folder / "instances.json"
+        self._write_list()
+        self._stand_in("log", "--port", self.log_port, "--retention", self.retention)
+        self._stand_in("fleet", "--port", self.list_port, "--list-file", self.list_file)
+        extra = [
+            part
+            for name, value in self.engine_args.items()
+            for part in (f"--{name.replace('_', '-')}", value)
+        ]
+        self._stand_in(
+            "engines", "--port", self.engines_port, "--list-file", self.list_file, *extra
+        )
+        for instance, port in self.service_ports.items():
+            self._stand_in("service", "--port", port, "--instance", instance)
+        for port in (self.log_port, self.list_port, self.engines_port):
+            wait_until(lambda port=port: _connects(port), what=f"stand-in on {port}")
+        for data_centre in self.data_centres:
+            for number in range(1, self.nodes_per_data_centre + 1):
+                self.start_node(f"{data_centre}-n{number}", data_centre)
+        return self
+
+    def __exit__(self, *exc) -> None:
+        for node in self.nodes.values():
+            if node.process is not None and node.process.poll() is None:
+                node.process.send_signal(signal.SIGCONT)
+                node.process.kill()
+        for process in self.processes:
+            process.kill()
+        for process in self.processes + [
+            node.process for node in self.nodes.values() if node.process is not None
+        ]:
+            process.wait()
+
+    def start_node(self, name: str, data_centre: str) -> NodeProcess:
+        """Start a daemon under a name, on fresh ports unless it had some."""
+        node = self.nodes.get(name)
+        if node is None:
+            callers, operators, peers = free_ports(3)
+            settings = self.folder / f"{name}.yaml"
+            node = NodeProcess(name, callers, operators, peers, settings)
+            self.nodes[name] = node
+            settings.write_text(yaml.safe_dump(self._settings(node, data_centre)))
+        node.process = self._spawn(
+            name, [sys.executable, "-m", "briarpond.daemon", str(node.settings)]
+        )
+        return node
+
+    def stop_node(self, name: str, timeout_s: float = 40.0) -> int:
+        """Ask a daemon to stop gracefully; return its exit code."""
+        process = self.nodes[name].process
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout_s)
+
+    def control(self, port: int, **change):
+        """Send a change to a stand-in."""
+        return call(port, "POST", "/control", change).json()
+
+    def operator(self, name: str, method: str, path: str, body=None) -> Answer:
+        """Call a node as an operator."""
+        return call(self.nodes[name].operators, method, path, body, OPERATOR_KEY)
+
+    def configure(self, document: dict, base_version: int = 0) -> Answer:
+        """Submit a patch by the first node."""
+        first = next(iter(self.nodes))
+        body = {"base_version": base_version, "patch": document}
+        return self.operator(first, "POST", "/operator/patches", body)
+
+    def groups(self, name: str) -> list[dict]:
+        """Return the groups as a node sees them."""
+        return self.operator(name, "GET", "/operator/groups").json()["groups"]
+
+    def wait_ready(self, count: int, timeout_s: float = 30.0) -> None:
+        """Wait until every running node sees `count` ready groups."""
+        for node in self.nodes.values():
+            if node.process is None or node.process.poll() is not None:
+                continue
+            wait_until(
+                lambda node=node: sum(row["ready"] for row in self.groups(node.name)) == count,
+                timeout_s,
+                f"{count} ready groups on {node.name}",
+            )
+
+    def history(self) -> list[dict]:
+        """Return the runs of all engines."""
+        return call(self.engines_port, "GET", "/history").json()
+
+    def service_runs(self) -> dict[str, int]:
+        """Return how often each order ran, over all plain servers."""
+        runs: dict[str, int] = {}
+        for port in self.service_ports.values():
+            for order, count in call(port, "GET", "/runs").json().items():
+                runs[order] = runs.get(order, 0) + count
+        return runs
+
+    def _write_list(self) -> None:
+        rows = []
+        per = self.engines_per_data_centre
+        ports = free_ports(per * len(self.data_centres) + self.services)
+        for data_centre in self.data_centres:
+            for number in range(per):
+                domain = number * self.domains_per_data_centre // per
+                rows.append(
+                    self._row(
+                        f"{data_centre}-e{number}",
+                        "briar-pool",
+                        ports.pop(),
+                        data_centre,
+                        f"{data_centre}-f{domain}",
+                        4,
+                    )
+                )
+        for number in range(self.services):
+            data_centre = self.data_centres[number % len(self.data_centres)]
+            name = f"cutdesk-{number}"
+            self.service_ports[name] = ports.pop()
+            rows.append(
+                self._row(name, "cutdesk", self.service_ports[name], data_centre, "plain", 0)
+            )
+        self.list_file.write_text(json.dumps({"instances": rows}))
+
+    def _row(self, instance, service, port, data_centre, domain, accelerators) -> dict:
+        return {
+            "instance": instance,
+            "service": service,
+            "address": f"127.0.0.1:{port}",
+            "data_centre": data_centre,
+            "domain": domain,
+            "accelerators": accelerators,
+            "state": "live",
+            "fencing": self.fencing,
+        }
+
+    def _settings(self, node: NodeProcess, data_centre: str) -> dict:
+        return {
+            "node": node.name,
+            "data_centre": data_centre,
+            "region": "tas-south",
+            "listen": {
+                "callers": f"127.0.0.1:{node.callers}",
+                "operators": f"127.0.0.1:{node.operators}",
+                "peers": f"127.0.0.1:{node.peers}",
+            },
+            "platform": {
+                "log": f"127.0.0.1:{self.log_port}",
+                "instances": f"127.0.0.1:{self.list_port}",
+            },
+            "peers": {"secret": PEER_SECRET},
+            "operators": [{"name": "ada", "key_sha256": sha256(OPERATOR_KEY)}],
+            "timing": self.timing,
+            "stop": self.stop,
+        }
+
+    def _stand_in(self, *args) -> None:
+        command = [sys.executable, "-m", "tests.standins", *map(str, args)]
+        self.processes.append(self._spawn(f"standin-{args[0]}-{args[2]}", command))
+
+    def _spawn(self, name: str, command: list[str]) -> subprocess.Popen:
+        with (self.folder / f"{name}.log").open("ab") as output:
+            return subprocess.Popen(
+                command,
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
+
+
+def _connects(port: int) -> bool:
+    with socket.create_connection(("127.0.0.1", port), 1.0):
+        return True
