Peers over thrift: relay of the log, digests, questions about keys

Cause: a second node that met a claimed idempotency key answered not-run although the owner had run the request, and each node read the log and probed every instance on its own, which does not scale.

Change: authenticated thrift frames; each node pulls from two random peers a round. Ages are measured from when a pull was sent, so relayed presence is never taken for younger than it is. One node of a data centre reads the log, the others fold what it relays; two nodes probe a group. The owner of a key is asked and its answer repeated.

--- a/briarpond/daemon/_app.py
+++ b/briarpond/daemon/_app.py
@@ -7,7 +7,6 @@
 from circuits.web.http import HTTP
 
 from briarpond.conf import Settings
-from briarpond.journal import Group
 from briarpond.nodes import DrainStage
 
 from ._callers import CallerDesk
@@ -21,6 +20,8 @@
 from ._node import NodeContext
 from ._operators import OperatorDesk
 from ._outbound import Connector
+from ._peer_link import PeerLink
+from ._peer_net import PeerCaller, PeerServer
 
 TICK_S = 0.05
 GAUGES_S = 1.0
@@ -66,9 +67,14 @@
         self.clock += connector
         self.node = NodeContext(settings, self.clock, HttpClient(connector, self.clock))
         self.membership = Membership(self.node)
-        self.fleet = FleetLink(self.node, self._probes_group, self._plans)
         self.log = LogLink(self.node, self._on_folded)
-        self.callers = CallerDesk(self.node, self.fleet)
+        secret = settings.peers.secret.encode()
+        caller = PeerCaller(connector, self.clock, secret)
+        self.peers = PeerLink(self.node, caller.call, self.log)
+        self.clock += PeerServer(settings.listen.peers, self.peers.answer, secret)
+        self.log.reads_often = self.peers.is_reader
+        self.fleet = FleetLink(self.node, self.peers.probes_group, self._plans)
+        self.callers = CallerDesk(self.node, self.fleet, self.peers.ask_key)
         self.operators = OperatorDesk(self.node, self.begin_drain, self._superseded)
         self._listeners = self._listen(settings)
         self._config_version = 0
@@ -85,6 +91,7 @@
             callers=node.settings.listen.callers,
         )
         self.log.start()
+        self.peers.start()
         self.fleet.start()
         self.membership.start()
         self.clock.every(TICK_S, self._tick)
@@ -169,9 +176,6 @@
         )
         node.metrics.idle_accelerators.set({}, idle)
 
-    def _probes_group(self, group: Group) -> bool:
-        return True
-
     def _plans(self) -> bool:
         return self.membership.holds(self.membership.plan_scope)
 
--- a/briarpond/daemon/_callers.py
+++ b/briarpond/daemon/_callers.py
@@ -12,7 +12,6 @@
 from briarpond.journal import Node, NodeStage
 from briarpond.nodes import entry_list
 from briarpond.requests import (
-    KeyState,
     Outcome,
     Refusal,
     RefusalCode,
@@ -30,6 +29,7 @@
 from ._runner import (
     NODE_HEADER,
     OUTCOME_HEADER,
+    AskKey,
     ErrorBody,
     ErrorDetail,
     Runner,
@@ -93,8 +93,9 @@
 class CallerDesk:
     """Takes requests of callers and answers or runs them."""
 
-    def __init__(self, node: NodeContext, fleet: FleetLink) -> None:
+    def __init__(self, node: NodeContext, fleet: FleetLink, ask_key: AskKey) -> None:
         self._node = node
+        self._ask_key = ask_key
         self._fleet = fleet
         self._runners: set[Runner] = set()
 
@@ -274,8 +275,6 @@
             refuse(node, reply, refusal)
             return
         digest = key_digest(plan.account, request.method, target, body)
-        if plan.key is not None and self._answered_by_key(plan.key, digest, reply):
-            return
         account = node.document.accounts[plan.account]
         denied = self._admit(plan.account, account, tokens)
         if denied is not None:
@@ -295,7 +294,7 @@
         machine = RequestMachine(
             plan, pick, node.budget, lambda: AttemptId(f"{node.id}-{node.new_id()}")
         )
-        runner = Runner(node, self._fleet, machine, submission, reply, self._done)
+        runner = Runner(node, self._fleet, machine, submission, reply, self._ask_key, self._done)
         self._runners.add(runner)
         node.in_flight += 1
         node.metrics.in_flight.set({}, node.in_flight)
@@ -340,41 +339,6 @@
             RefusalCode.RATE_LIMITED, Outcome.NOT_RUN, 429, message, answer.retry_after_s
         )
 
-    def _answered_by_key(self, key: RequestKey, digest: str, reply: Reply) -> bool:
-        """Answer from what is known of the key; return False if the request may run here."""
-        node = self._node
-        entry = node.ledger.get(key)
-        claim = node.tail.state.claims.get(key)
-        known_digest = entry.digest if entry else claim.digest if claim else digest
-        if known_digest != digest:
-            message = "This Idempotency-Key was used for another request."
-            refuse(node, reply, Refusal(RefusalCode.KEY_REUSED, Outcome.NOT_RUN, 422, message))
-            return True
-        if entry is None:
-            if claim is None:
-                return False
-            message = f"The request with this key went to node {claim.node}."
-            refuse(node, reply, Refusal(RefusalCode.KEY_ELSEWHERE, Outcome.UNKNOWN, 409, message))
-            return True
-        match entry.state:
-            case KeyState.NOT_RUN:
-                return False
-            case KeyState.ANSWERED if entry.body is not None:
-                headers = (
-                    ("Content-Type", entry.content_type),
-                    (OUTCOME_HEADER, Outcome.ANSWERED.value),
-                    (NODE_HEADER, node.id),
-                )
-                reply.whole(entry.status, headers, entry.body)
-            case KeyState.RUNNING:
-                message = "The request with this key is still running; ask again."
-                refusal = Refusal(RefusalCode.KEY_ENDED, Outcome.UNKNOWN, 409, message, 1.0)
-                refuse(node, reply, refusal)
-            case _:
-                message = "The request with this key has ended; its answer is not known here."
-                refuse(node, reply, Refusal(RefusalCode.KEY_ENDED, Outcome.UNKNOWN, 409, message))
-        return True
-
     def _serves(self, model: str, adapter: str | None) -> bool:
         return any(
             deployment.model == model and (adapter is None or adapter in deployment.adapters)
--- a/briarpond/daemon/_fleet_link.py
+++ b/briarpond/daemon/_fleet_link.py
@@ -154,6 +154,7 @@
         now = self._node.clock.now()
         policy = self._policy()
         given = PlannerInput(
+            self._node.wall_ms(),
             self._node.id,
             self._node.data_centre,
             self._node.tail.state,
--- a/briarpond/daemon/_log_link.py
+++ b/briarpond/daemon/_log_link.py
@@ -10,6 +10,7 @@
 from ._node import NodeContext
 
 PUMP_S = 0.05
+RELAY_LAPSE_S = 1.0
 _REFUSED_STATUSES = frozenset({429, 503})
 
 
@@ -19,6 +20,7 @@
     def __init__(self, node: NodeContext, on_folded: Callable[[], None]) -> None:
         self._node = node
         self._on_folded = on_folded
+        self.reads_often: Callable[[], bool] = lambda: True
         self._reading = False
         self._appending = False
         self._status = TailStatus.BOOTING
@@ -26,9 +28,16 @@
     def start(self) -> None:
         """Schedule reads and appends."""
         clock = self._node.clock
-        clock.every(self._node.settings.timing.log_poll_s, self.read)
+        clock.every(self._node.settings.timing.log_poll_s, self._poll)
         clock.every(PUMP_S, self.pump)
 
+    def _poll(self) -> None:
+        """Read if this node reads for its data centre, or the relay has failed."""
+        node = self._node
+        lapsed = node.clock.now() - node.contact_at > RELAY_LAPSE_S
+        if self.reads_often() or lapsed:
+            self.read()
+
     def read(self) -> None:
         """Ask for the next page unless one is under way."""
         if self._reading:
--- a/briarpond/daemon/_membership.py
+++ b/briarpond/daemon/_membership.py
@@ -100,6 +100,7 @@
         listen = node.settings.listen
         record = NodeJoin(
             node.record_id("join"),
+            node.wall_ms(),
             node.id,
             node.incarnation,
             node.data_centre,
@@ -125,7 +126,9 @@
             return
         if self._announcing_leave:
             return
-        record = NodeLeave(node.record_id("leave"), node.id, node.incarnation, node.id)
+        record = NodeLeave(
+            node.record_id("leave"), node.wall_ms(), node.id, node.incarnation, node.id
+        )
 
         def settled(result: Settled) -> None:
             self._announcing_leave = False
@@ -135,7 +138,9 @@
     def remove_self(self) -> None:
         """Submit the removal of this node, which has nothing left to do."""
         node = self._node
-        record = NodeRemove(node.record_id("remove"), node.id, node.incarnation, node.id)
+        record = NodeRemove(
+            node.record_id("remove"), node.wall_ms(), node.id, node.incarnation, node.id
+        )
         node.submit(record, RECORD_TIMEOUT_S, lambda result: None)
 
     def _keep_lease(self, scope: LeaseScope, now: float) -> None:
@@ -193,7 +198,7 @@
 
     def _remove(self, peer: NodeId, incarnation) -> None:
         node = self._node
-        record = NodeRemove(node.record_id("remove"), peer, incarnation, node.id)
+        record = NodeRemove(node.record_id("remove"), node.wall_ms(), peer, incarnation, node.id)
 
         def settled(result: Settled) -> None:
             self._removing.discard(peer)
--- a/briarpond/daemon/_node.py
+++ b/briarpond/daemon/_node.py
@@ -1,6 +1,7 @@
 """State of one running node, shared by the parts of its shell."""
 
 import random
+import time
 import uuid
 from collections.abc import Callable, Iterable
 
@@ -38,14 +39,20 @@
         to be folded to its end.
     """
 
-    def __init__(self, settings: Settings, clock: Clock, client: HttpClient) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        client: HttpClient,
+        rng: random.Random | None = None,
+    ) -> None:
         self.settings = settings
         self.clock = clock
         self.client = client
         self.id = NodeId(settings.node)
         self.data_centre = DataCentre(settings.data_centre)
-        self.incarnation = Incarnation(uuid.uuid4().hex[:12])
-        self.rng = random.Random(uuid.uuid4().int)
+        self.rng = rng or random.Random(uuid.uuid4().int)
+        self.incarnation = Incarnation(self.new_id())
         self.metrics = Metrics()
         self.tail = Tail()
         self.outbox = Outbox()
@@ -80,7 +87,11 @@
 
     def new_id(self) -> str:
         """Return an identifier that no other node or incarnation uses."""
-        return uuid.uuid4().hex[:16]
+        return f"{self.rng.getrandbits(64):016x}"
+
+    def wall_ms(self) -> int:
+        """Return the wall-clock time for the audit trail; nothing is decided by it."""
+        return int(time.time() * 1000)
 
     def record_id(self, kind: str) -> RecordId:
         """Return a fresh record id."""
--- a/briarpond/daemon/_operators.py
+++ b/briarpond/daemon/_operators.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -189,7 +188,7 @@
             self._problem(reply, 400, f"The body is not accepted: {exc}.", "See docs/ref/http.md.")
             return
         record = PatchSubmit(
-            node.record_id("patch"), actor, body.base_version, body.patch, _wall_ms()
+            node.record_id("patch"), actor, body.base_version, body.patch, node.wall_ms()
         )
 
         def settled(result: Settled) -> None:
@@ -288,7 +287,7 @@
 
     def _begin_drain(self, actor: OperatorName, reply: Reply) -> None:
         node = self._node
-        record = OperatorAction(node.record_id("action"), actor, "drain", node.id, _wall_ms())
+        record = OperatorAction(node.record_id("action"), actor, "drain", node.id, node.wall_ms())
         node.submit(record, PATCH_TIMEOUT_S, lambda result: None)
         if not node.drain.leaving:
             self._drain()
@@ -303,8 +302,3 @@
 
     def _json(self, reply: Reply, status: int, body: msgspec.Struct) -> None:
         reply.whole(status, (("Content-Type", "application/json"),), msgspec.json.encode(body))
-
-
-def _wall_ms() -> int:
-    """Return the wall-clock time for the audit trail; nothing is decided by it."""
-    return int(time.time() * 1000)
--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from briarpond.ids import AttemptId
+from briarpond.ids import AttemptId, Incarnation, NodeId, RequestKey
 from briarpond.journal import KeyClaim, Settled
 from briarpond.platform import (
     GENERATION_HEADER,
@@ -14,6 +14,7 @@
     RESUME_HEADER,
 )
 from briarpond.requests import (
+    AskOwner,
     CancelAttempt,
     Claim,
     ClaimResult,
@@ -45,6 +46,9 @@
 _PASSED_HEADERS = frozenset({"content-type", "cache-control", "content-disposition", "location"})
 
 
+AskKey = Callable[[NodeId, Incarnation, RequestKey, Callable[[KeyEntry | None], None]], None]
+
+
 class Submission(msgspec.Struct):
     """What a caller sent, as it goes on to a backend server."""
 
@@ -66,6 +70,7 @@
         machine: RequestMachine,
         submission: Submission,
         reply: Reply,
+        ask_key: AskKey,
         on_done: Callable[["Runner"], None],
     ) -> None:
         self.machine = machine
@@ -74,7 +79,9 @@
         self._fleet = fleet
         self._submission = submission
         self._reply = reply
+        self._ask_key = ask_key
         self._on_done = on_done
+        self._owns_key = False
         self._exchange: Exchange | None = None
         self._paused = False
         self._instance: str | None = None
@@ -109,6 +116,8 @@
                     self._confirm(effect)
                 case Claim():
                     self._claim(effect)
+                case AskOwner():
+                    self._ask_owner(effect)
                 case ReplyHead():
                     self._on_reply_head(effect)
                 case ReplyEnd():
@@ -124,11 +133,9 @@
     def _claim(self, effect: Claim) -> None:
         node = self._node
         key = effect.key
-        node.ledger.put(key, KeyEntry(KeyState.RUNNING, self._submission.digest))
-        claim = node.tail.state.claims.get(key)
-        if claim is not None:
-            assert claim.incarnation == node.incarnation, "only the owner runs a key"
-            node.clock.after(0.0, lambda: self._claimed(ClaimResult.WON))
+        result = self._claim_known(key)
+        if result is not None:
+            node.clock.after(0.0, lambda: self._claimed(result))
             return
         record = KeyClaim(
             node.record_id("claim"),
@@ -138,15 +145,68 @@
             node.incarnation,
             self._submission.digest,
         )
+        # Until the claim is settled this key is ours to answer for.
+        self._own_key(key)
 
         def settled(result: Settled) -> None:
-            won = node.tail.state.claims.get(key)
-            mine = won is not None and won.incarnation == node.incarnation
-            self._claimed(ClaimResult.WON if mine else ClaimResult.UNAVAILABLE)
+            self._claimed(self._claim_result(key))
 
         if not node.submit(record, CLAIM_TIMEOUT_S, settled):
             node.clock.after(0.0, lambda: self._claimed(ClaimResult.UNAVAILABLE))
 
+    def _claim_known(self, key: RequestKey) -> ClaimResult | None:
+        """Judge by what is known already; None if a claim must be submitted."""
+        node = self._node
+        entry = node.ledger.get(key)
+        claim = node.tail.state.claims.get(key)
+        known = entry.digest if entry is not None else claim.digest if claim is not None else None
+        if known is None:
+            return None
+        if known != self._submission.digest:
+            return ClaimResult.REUSED
+        if entry is not None and entry.state is KeyState.NOT_RUN:
+            if claim is not None and claim.incarnation == node.incarnation:
+                self._own_key(key)
+                return ClaimResult.WON
+            return None if claim is None else ClaimResult.TAKEN
+        return ClaimResult.TAKEN
+
+    def _claim_result(self, key: RequestKey) -> ClaimResult:
+        node = self._node
+        claim = node.tail.state.claims.get(key)
+        if claim is None:
+            return ClaimResult.UNAVAILABLE
+        if claim.incarnation == node.incarnation:
+            return ClaimResult.WON
+        node.ledger.forget(key)
+        self._owns_key = False
+        same = claim.digest == self._submission.digest
+        return ClaimResult.TAKEN if same else ClaimResult.REUSED
+
+    def _own_key(self, key: RequestKey) -> None:
+        self._owns_key = True
+        self._node.ledger.put(key, KeyEntry(KeyState.RUNNING, self._submission.digest))
+
+    def _ask_owner(self, effect: AskOwner) -> None:
+        node = self._node
+
+        def told(entry: KeyEntry | None) -> None:
+            self.run(self.machine.on_owner(entry, self._now()))
+
+        def ask() -> None:
+            if self.machine.done:
+                return
+            entry = node.ledger.get(effect.key)
+            claim = node.tail.state.claims.get(effect.key)
+            if entry is not None:
+                told(entry)
+            elif claim is None or claim.incarnation == node.incarnation:
+                told(None)
+            else:
+                self._ask_key(claim.node, claim.incarnation, effect.key, told)
+
+        node.clock.after(effect.delay_s, ask)
+
     def _claimed(self, result: ClaimResult) -> None:
         self.run(self.machine.on_claim(result, self._now()))
 
@@ -257,7 +317,7 @@
 
     def _remember_answer(self, head: ReplyHead) -> None:
         key = self.machine.plan.key
-        if key is None:
+        if key is None or not self._owns_key:
             return
         content_type = dict(head.headers).get("content-type", "application/json")
         entry = KeyEntry(
@@ -286,7 +346,7 @@
 
     def _settle_key(self) -> None:
         key = self.machine.plan.key
-        entry = self._node.ledger.get(key) if key is not None else None
+        entry = self._node.ledger.get(key) if key is not None and self._owns_key else None
         if key is None or entry is None or entry.state is not KeyState.RUNNING:
             return
         ended = KeyState.UNKNOWN
--- a/briarpond/groups/_planner.py
+++ b/briarpond/groups/_planner.py
@@ -59,8 +59,9 @@
 
 
 class PlannerInput(msgspec.Struct, frozen=True):
-    """What one planning round looks at."""
+    """What one planning round looks at; `at_ms` is wall-clock time for the audit trail."""
 
+    at_ms: int
     node: NodeId
     data_centre: DataCentre
     state: State
@@ -302,6 +303,7 @@
     suffix = given.new_id()
     return GroupForm(
         RecordId(f"form-{suffix}"),
+        given.at_ms,
         given.node,
         GroupId(f"{deployment_id}-{suffix}"),
         deployment_id,
@@ -331,6 +333,7 @@
     suffix = given.new_id()
     return GroupForm(
         RecordId(f"form-{suffix}"),
+        given.at_ms,
         given.node,
         GroupId(f"{group.deployment}-{suffix}"),
         group.deployment,
@@ -345,10 +348,12 @@
 
 def _retire(given: PlannerInput, group: Group, trouble: _Trouble) -> GroupRetire:
     record_id = RecordId(f"retire-{given.new_id()}")
-    return GroupRetire(record_id, given.node, group.id, group.generation, trouble.value)
+    return GroupRetire(
+        record_id, given.at_ms, given.node, group.id, group.generation, trouble.value
+    )
 
 
 def _dissolve(given: PlannerInput, group: Group, trouble: _Trouble) -> GroupDissolve:
     reason = "retired" if trouble is _Trouble.NONE else trouble.value
     record_id = RecordId(f"dissolve-{given.new_id()}")
-    return GroupDissolve(record_id, given.node, group.id, group.generation, reason)
+    return GroupDissolve(record_id, given.at_ms, given.node, group.id, group.generation, reason)
--- a/briarpond/journal/_fold.py
+++ b/briarpond/journal/_fold.py
@@ -264,17 +264,22 @@
         case OperatorAction():
             fields = (record.at_ms, record.actor, record.action, record.target)
         case GroupForm():
-            fields = (0, record.node, "group-form", record.group)
+            fields = (record.at_ms, record.node, "group-form", record.group)
         case GroupRetire():
-            fields = (0, record.node, "group-retire", record.group)
+            fields = (record.at_ms, record.node, "group-retire", record.group)
         case GroupDissolve():
-            fields = (0, record.node, "group-dissolve", f"{record.group} ({record.reason})")
+            fields = (
+                record.at_ms,
+                record.node,
+                "group-dissolve",
+                f"{record.group} ({record.reason})",
+            )
         case NodeJoin():
-            fields = (0, record.node, "node-join", record.node)
+            fields = (record.at_ms, record.node, "node-join", record.node)
         case NodeLeave():
-            fields = (0, record.actor, "node-leave", record.node)
+            fields = (record.at_ms, record.actor, "node-leave", record.node)
         case NodeRemove():
-            fields = (0, record.by, "node-remove", record.node)
+            fields = (record.at_ms, record.by, "node-remove", record.node)
         case _:
             return None
     return AuditEntry(
--- a/briarpond/journal/_models.py
+++ b/briarpond/journal/_models.py
@@ -56,6 +56,7 @@
     """Forms a group; `seen` is the position up to which the writer had folded."""
 
     id: RecordId
+    at_ms: int
     node: NodeId
     group: GroupId
     deployment: DeploymentId
@@ -71,6 +72,7 @@
     """Stops new work for a group so that it can be dissolved when idle."""
 
     id: RecordId
+    at_ms: int
     node: NodeId
     group: GroupId
     generation: Position
@@ -81,6 +83,7 @@
     """Ends a group and gives its instances back."""
 
     id: RecordId
+    at_ms: int
     node: NodeId
     group: GroupId
     generation: Position
@@ -101,6 +104,7 @@
     """Announces a node and its addresses."""
 
     id: RecordId
+    at_ms: int
     node: NodeId
     incarnation: Incarnation
     data_centre: DataCentre
@@ -113,6 +117,7 @@
     """Announces that a node drains; its address is no longer given out."""
 
     id: RecordId
+    at_ms: int
     node: NodeId
     incarnation: Incarnation
     actor: str
@@ -122,6 +127,7 @@
     """Removes a node that has stopped or has been silent for long."""
 
     id: RecordId
+    at_ms: int
     node: NodeId
     incarnation: Incarnation
     by: NodeId
--- /dev/null
+++ b/briarpond/peers/__init__.py
@@ -0,0 +1,42 @@
+"""Messages between nodes: typed models, thrift codec, digests and choices."""
+
+from ._choice import is_reader, probers
+from ._codec import FrameAssembler, decode_frame, encode_frame
+from ._digest import answer_pull, digest_nodes, merge_groups, merge_nodes
+from ._exceptions import PeerProblem, PeerProblemCode
+from ._models import (
+    PROTOCOL_VERSION,
+    AccountDemand,
+    Envelope,
+    GroupDigest,
+    KeyAnswer,
+    KeyQuery,
+    LogRow,
+    NodeDigest,
+    Pull,
+    PullAnswer,
+)
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "AccountDemand",
+    "Envelope",
+    "FrameAssembler",
+    "GroupDigest",
+    "KeyAnswer",
+    "KeyQuery",
+    "LogRow",
+    "NodeDigest",
+    "PeerProblem",
+    "PeerProblemCode",
+    "Pull",
+    "PullAnswer",
+    "answer_pull",
+    "decode_frame",
+    "digest_nodes",
+    "encode_frame",
+    "is_reader",
+    "merge_groups",
+    "merge_nodes",
+    "probers",
+]
--- a/briarpond/requests/__init__.py
+++ b/briarpond/requests/__init__.py
@@ -1,6 +1,7 @@
 """Requests of callers: attempts, outcomes and idempotency keys."""
 
 from ._effects import (
+    AskOwner,
     CancelAttempt,
     Claim,
     Confirm,
@@ -28,6 +29,7 @@
 from ._stream import EventSplitter
 
 __all__ = [
+    "AskOwner",
     "CancelAttempt",
     "Claim",
     "ClaimResult",
--- a/briarpond/requests/_effects.py
+++ b/briarpond/requests/_effects.py
@@ -13,6 +13,13 @@
     key: RequestKey
 
 
+class AskOwner(msgspec.Struct, frozen=True):
+    """Ask the owner of the key what became of the request, after `delay_s` seconds."""
+
+    key: RequestKey
+    delay_s: float = 0.0
+
+
 class Confirm(msgspec.Struct, frozen=True):
     """Ask every member of the target's group for its status now."""
 
@@ -74,5 +81,13 @@
 
 
 Effect = (
-    Claim | Confirm | Dispatch | CancelAttempt | ReplyHead | ReplyData | ReplyEnd | ReplyRefusal
+    Claim
+    | AskOwner
+    | Confirm
+    | Dispatch
+    | CancelAttempt
+    | ReplyHead
+    | ReplyData
+    | ReplyEnd
+    | ReplyRefusal
 )
--- a/briarpond/requests/_keys.py
+++ b/briarpond/requests/_keys.py
@@ -55,11 +55,6 @@
         """Return what is known of `key`."""
         return self._entries.get(key)
 
-    def may_run(self, key: RequestKey) -> bool:
-        """Whether the request with a key claimed here is certain not to have run."""
-        entry = self._entries.get(key)
-        return entry is not None and entry.state is KeyState.NOT_RUN
-
     def put(self, key: RequestKey, entry: KeyEntry) -> None:
         """Store the newest knowledge of `key`."""
         previous = self._entries.pop(key, None)
@@ -67,6 +62,11 @@
         self._entries[key] = entry
         self._shrink()
 
+    def forget(self, key: RequestKey) -> None:
+        """Drop a key that turned out to belong to another node."""
+        entry = self._entries.pop(key, None)
+        self._bytes -= _size(entry) if entry is not None else 0
+
     def _shrink(self) -> None:
         while len(self._entries) > KEPT_ENTRIES:
             oldest = next(iter(self._entries))
--- a/briarpond/requests/_machine.py
+++ b/briarpond/requests/_machine.py
@@ -11,6 +11,7 @@
 from briarpond.ids import AttemptId
 
 from ._effects import (
+    AskOwner,
     CancelAttempt,
     Claim,
     Confirm,
@@ -21,6 +22,7 @@
     ReplyHead,
     ReplyRefusal,
 )
+from ._keys import KeyEntry, KeyState
 from ._models import (
     ClaimResult,
     LossReason,
@@ -39,6 +41,7 @@
 
 _RETRYABLE_STATUSES = frozenset({429, 500, 502, 503, 504})
 _RETRY_SOON_S = 1.0
+_ASK_AGAIN_S = 0.2
 
 
 class Stage(Enum):
@@ -46,6 +49,7 @@
 
     NEW = "new"
     CLAIMING = "claiming"
+    ASKING = "asking"
     CONFIRMING = "confirming"
     CONNECTING = "connecting"
     SENT = "sent"
@@ -119,11 +123,39 @@
         """Go on once the claim on the key is settled."""
         if self.stage is not Stage.CLAIMING:
             return []
-        if result is ClaimResult.WON:
-            return self._next_attempt(now)
-        return self._refuse(
-            RefusalCode.LOG_UNAVAILABLE, 503, "The platform's log did not answer in time."
-        )
+        assert self.plan.key is not None
+        match result:
+            case ClaimResult.WON:
+                return self._next_attempt(now)
+            case ClaimResult.TAKEN:
+                self.stage = Stage.ASKING
+                return [AskOwner(self.plan.key)]
+            case ClaimResult.REUSED:
+                message = "This idempotency key stands for another request."
+                return self._refuse(RefusalCode.KEY_REUSED, 422, message)
+        message = "The platform's log did not answer in time."
+        return self._refuse(RefusalCode.LOG_UNAVAILABLE, 503, message)
+
+    def on_owner(self, entry: KeyEntry | None, now: float) -> list[Effect]:
+        """Repeat what the owner of the key says; None if it cannot be asked."""
+        if self.stage is not Stage.ASKING:
+            return []
+        assert self.plan.key is not None
+        if entry is None:
+            message = "The node that took the first request with this key cannot be asked."
+            return self._refuse_unknown(RefusalCode.KEY_ELSEWHERE, 409, message)
+        match entry.state:
+            case KeyState.RUNNING:
+                return [AskOwner(self.plan.key, _ASK_AGAIN_S)]
+            case KeyState.NOT_RUN:
+                message = "The first request with this key was not run."
+                return self._refuse(RefusalCode.KEY_ENDED, 503, message)
+            case KeyState.ANSWERED if entry.body is not None:
+                headers = (("content-type", entry.content_type),)
+                head = ReplyHead(entry.status, headers, False, Outcome.ANSWERED)
+                return self._finish([head, ReplyData(entry.body), ReplyEnd()])
+        message = "The first request with this key has ended; its answer is not known."
+        return self._refuse_unknown(RefusalCode.KEY_ENDED, 409, message)
 
     def on_confirmed(self, attempt: AttemptId, ready: bool, now: float) -> list[Effect]:
         """Dispatch if every member answered rightly, else look elsewhere."""
@@ -224,20 +256,25 @@
         if not self.plan.idempotent and (self.plan.key is not None or self.may_have_run):
             return []
         effects = self._cancel_current()
-        outcome = Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
-        self._close(outcome)
+        unsure = self.may_have_run or self.stage is Stage.ASKING
+        self._close(Outcome.UNKNOWN if unsure else Outcome.NOT_RUN)
         return effects
 
     def on_stop(self, now: float) -> list[Effect]:
         """End with the true outcome because the node must stop now."""
         if self.done:
             return []
+        if self.stage is Stage.ASKING:
+            return self._refuse_unknown(RefusalCode.DRAINING, 503, "This node had to stop.")
         return self._give_up(RefusalCode.DRAINING, 503, "This node had to stop.")
 
     def on_tick(self, now: float) -> list[Effect]:
         """Enforce the deadline and the bound on silence."""
         if self.done:
             return []
+        if now >= self.plan.deadline and self.stage is Stage.ASKING:
+            message = "The first request with this key is still running."
+            return self._refuse_unknown(RefusalCode.DEADLINE, 504, message)
         if now >= self.plan.deadline:
             return self._give_up(RefusalCode.DEADLINE, 504, "The deadline has passed.")
         silent = now - self.last_byte_at >= self.plan.silence_s
@@ -319,9 +356,7 @@
             return effects + self._refuse_in_stream(code, message)
         if not self.may_have_run:
             return effects + self._refuse(code, status, message)
-        refusal = Refusal(code, Outcome.UNKNOWN, status, message)
-        self._close(Outcome.UNKNOWN)
-        return [*effects, ReplyRefusal(refusal, False)]
+        return effects + self._refuse_unknown(code, status, message)
 
     def _refuse(self, code: RefusalCode, status: int, message: str) -> list[Effect]:
         assert not self.may_have_run and not self._head_out
@@ -329,6 +364,10 @@
         self._close(Outcome.NOT_RUN)
         return [ReplyRefusal(refusal, False)]
 
+    def _refuse_unknown(self, code: RefusalCode, status: int, message: str) -> list[Effect]:
+        self._close(Outcome.UNKNOWN)
+        return [ReplyRefusal(Refusal(code, Outcome.UNKNOWN, status, message), False)]
+
     def _refuse_in_stream(self, code: RefusalCode, message: str) -> list[Effect]:
         refusal = Refusal(code, Outcome.UNKNOWN, 502, message)
         self._close(Outcome.UNKNOWN)
--- a/briarpond/requests/_models.py
+++ b/briarpond/requests/_models.py
@@ -113,10 +113,14 @@
     """What became of the claim on an idempotency key.
 
     WON : this node alone may run the request.
+    TAKEN : the key belongs to a submission that came first.
+    REUSED : the key stands for another request.
     UNAVAILABLE : the log did not answer in time; nothing was run.
     """
 
     WON = "won"
+    TAKEN = "taken"
+    REUSED = "reused"
     UNAVAILABLE = "unavailable"
 
 
