--- a/Makefile
+++ b/Makefile
@@ -18,5 +18,5 @@
 	$(VENV)/bin/ruff check --quiet .
 
 test: lint
-	$(VENV)/bin/python -m pytest -m 'not known_red'
+	$(VENV)/bin/python -m pytest -n auto -m 'not known_red'
 	$(VENV)/bin/python -m tests.known_red
--- a/briarpond/conf/_models.py
+++ b/briarpond/conf/_models.py
@@ -105,6 +105,7 @@
     contact_lost_s: Seconds = 10.0
     plan_s: Seconds = 0.5
     lease_ttl_s: Seconds = 5.0
+    snapshot_s: Seconds = 60.0
     connect_s: Seconds = 1.0
 
 
--- a/briarpond/daemon/_callers.py
+++ b/briarpond/daemon/_callers.py
@@ -231,7 +231,7 @@
         idempotent = self._marked_idempotent(request, service)
 
         def candidates(now: float) -> list[Candidate]:
-            return self._node.server_candidates(name)
+            return self._node.server_candidates(name, now)
 
         plan = self._plan(account, request, None, idempotent, service.timeout_s)
         self._submit(request, target, request.body.read(), reply, plan, candidates, 0)
@@ -272,13 +272,13 @@
             return
         refusal = self._refusal_at_door(plan)
         if refusal is not None:
-            refuse(node, reply, refusal)
+            refuse(node, reply, _for_key(refusal, plan))
             return
         digest = key_digest(plan.account, request.method, target, body)
         account = node.document.accounts[plan.account]
         denied = self._admit(plan.account, account, tokens)
         if denied is not None:
-            refuse(node, reply, denied)
+            refuse(node, reply, _for_key(denied, plan))
             return
         headers = tuple(
             (name, request.headers[name])
@@ -375,5 +375,15 @@
         reply.whole(status, headers, msgspec.json.encode(body))
 
 
+def _for_key(refusal: Refusal, plan: RequestPlan) -> Refusal:
+    """Return what can truly be said of a request with a key that was refused unseen.
+
+    Another node may have run the request with the same key.
+    """
+    if plan.key is None:
+        return refusal
+    return msgspec.structs.replace(refusal, outcome=Outcome.UNKNOWN)
+
+
 def _bad_input(message: str) -> Refusal:
     return Refusal(RefusalCode.INVALID_REQUEST, Outcome.NOT_RUN, 400, message)
--- a/briarpond/daemon/_fleet_link.py
+++ b/briarpond/daemon/_fleet_link.py
@@ -10,8 +10,8 @@
     due_orders,
     loading_groups,
 )
-from briarpond.ids import GroupId, InstanceId
-from briarpond.journal import Group, GroupPhase, Settled
+from briarpond.ids import DataCentre, GroupId, InstanceId
+from briarpond.journal import Group, GroupPhase, NodeStage, Settled
 from briarpond.platform import (
     FleetInstance,
     StatusReport,
@@ -158,10 +158,12 @@
             self._node.id,
             self._node.data_centre,
             self._node.tail.state,
-            tuple(self._node.fleet.values()),
+            self._node.fleet_seen(now),
             self._node.presence,
             policy,
             self._node.new_id,
+            lambda group: self._node.group_ready(group, now),
+            self._planned_data_centres(),
         )
         if not self._proposed:
             for record in self._planner.plan(given, now):
@@ -267,6 +269,11 @@
             if row.data_centre == node.data_centre and row.service in served
         ]
 
+    def _planned_data_centres(self) -> frozenset[DataCentre]:
+        node = self._node
+        others = {row.data_centre for row in node.live_peers() if row.stage is NodeStage.LIVE}
+        return frozenset(others | {node.data_centre})
+
     def _current(self, target: Target) -> Group | None:
         group = self._node.tail.state.groups.get(GroupId(target.group or ""))
         if group is None or group.generation != target.generation:
--- a/briarpond/daemon/_inbound.py
+++ b/briarpond/daemon/_inbound.py
@@ -188,12 +188,6 @@
         """Close a connection at once."""
         self.server._close(sock)
 
-    def stop_listening(self) -> None:
-        """Close connections without a request; take no new ones."""
-        for sock, meter in list(self._meters.items()):
-            if meter.reply is None:
-                self.drop(sock)
-
     @handler("ready", override=True)
     def _on_ready(self, *args, **kwargs) -> None:
         """Do without the banner on standard error."""
--- a/briarpond/daemon/_membership.py
+++ b/briarpond/daemon/_membership.py
@@ -21,7 +21,6 @@
 RECORD_TIMEOUT_S = 5.0
 SNAPSHOT_SCOPE = LeaseScope("journal")
 SNAPSHOT_RECORDS = 500
-SNAPSHOT_INTERVAL_S = 60.0
 FIRST_TRY_JITTER_S = 0.5
 
 
@@ -210,7 +209,8 @@
     def _snapshot(self, now: float) -> None:
         tail = self._node.tail
         due = tail.records_since_snapshot >= SNAPSHOT_RECORDS
-        aged = now - self._snapshot_at >= SNAPSHOT_INTERVAL_S and tail.records_since_snapshot > 0
+        interval_s = self._node.settings.timing.snapshot_s
+        aged = now - self._snapshot_at >= interval_s and tail.records_since_snapshot > 0
         if not due and not aged or now - self._snapshot_at < RECORD_TIMEOUT_S:
             return
         self._snapshot_at = now
--- a/briarpond/daemon/_node.py
+++ b/briarpond/daemon/_node.py
@@ -5,6 +5,8 @@
 import uuid
 from collections.abc import Callable, Iterable
 
+from msgspec.structs import replace
+
 from briarpond.admission import AccountIndex, AccountLimiter
 from briarpond.conf import Address, Settings
 from briarpond.configuration import Document
@@ -23,6 +25,7 @@
 SPREAD_S = 2.0
 OTHER_DATA_CENTRE_S = 0.01
 CONTACT_NEVER = float("-inf")
+RELAYED_LEAVING_S = 10.0
 
 
 class NodeContext:
@@ -34,6 +37,8 @@
         Last list of instances, by instance.
     relayed : dict
         Views of groups that peers probe, by group.
+    relayed_leaving : dict
+        Instance to when a peer last said that its list shows it as leaving.
     contact_at : float
         Monotonic time at which the log, directly or by a peer, was last known
         to be folded to its end.
@@ -59,6 +64,7 @@
         self.presence = PresenceTable()
         self.relayed: dict[GroupId, GroupView] = {}
         self.fleet: dict[InstanceId, FleetInstance] = {}
+        self.relayed_leaving: dict[InstanceId, float] = {}
         self.peers = PeerViews()
         self.ledger = KeyLedger()
         self.budget = RetryBudget()
@@ -158,23 +164,41 @@
                 continue
             if adapter is not None and adapter not in dict(group.spec.adapters):
                 continue
-            if not self.group_ready(group, now) or self._has_leaving_member(group):
+            if not self.group_ready(group, now) or self._has_leaving_member(group, now):
                 continue
             view = self.group_view(group, now)
             assert view is not None
             found.append(self._group_candidate(group, view.load, view.load_at))
         return found
 
-    def server_candidates(self, service: str) -> list[Candidate]:
+    def server_candidates(self, service: str, now: float) -> list[Candidate]:
         """Return the live servers of a plain service."""
         found = []
         for row in self.fleet.values():
-            if row.service != service or row.state is not InstanceState.LIVE:
+            if row.service != service or self.is_leaving(row.instance, now):
                 continue
             target = Target(TargetKind.SERVER, row.instance, row.address)
             found.append(Candidate(target, 0.0, CONTACT_NEVER, self._distance(row.data_centre)))
         return found
 
+    def listed_leaving(self) -> list[str]:
+        """Return the instances that this node's own list shows as leaving."""
+        return [row.instance for row in self.fleet.values() if row.state is InstanceState.LEAVING]
+
+    def is_leaving(self, instance: InstanceId, now: float) -> bool:
+        """Whether an instance leaves, by this node's list or a peer's."""
+        row = self.fleet.get(instance)
+        if row is not None and row.state is InstanceState.LEAVING:
+            return True
+        return now - self.relayed_leaving.get(instance, CONTACT_NEVER) <= RELAYED_LEAVING_S
+
+    def fleet_seen(self, now: float) -> tuple[FleetInstance, ...]:
+        """Return the list with what peers say of leaving instances."""
+        return tuple(
+            replace(row, state=InstanceState.LEAVING) if self.is_leaving(row.instance, now) else row
+            for row in self.fleet.values()
+        )
+
     def live_peers(self) -> Iterable[Node]:
         """Return the other nodes in the folded state."""
         return [node for node in self.tail.state.nodes.values() if node.id != self.id]
@@ -199,9 +223,8 @@
             target, load.running + load.queued, load_at, self._distance(group.data_centre)
         )
 
-    def _has_leaving_member(self, group: Group) -> bool:
-        rows = (self.fleet.get(member.instance) for member in group.members)
-        return any(row is not None and row.state is InstanceState.LEAVING for row in rows)
+    def _has_leaving_member(self, group: Group, now: float) -> bool:
+        return any(self.is_leaving(member.instance, now) for member in group.members)
 
     def _distance(self, data_centre: DataCentre) -> float:
         return 0.0 if data_centre == self.data_centre else OTHER_DATA_CENTRE_S
--- a/briarpond/daemon/_peer_link.py
+++ b/briarpond/daemon/_peer_link.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from briarpond.conf import Address
-from briarpond.ids import Incarnation, NodeId, RequestKey
+from briarpond.ids import Incarnation, InstanceId, NodeId, RequestKey
 from briarpond.journal import Group, LogEntry, Node, Page, decode_snapshot
 from briarpond.nodes import PeerView
 from briarpond.peers import (
@@ -137,6 +137,8 @@
         for view in merge_nodes(answer.nodes, asked_at):
             if view.node != node.id:
                 node.peers.hear(view)
+        for instance in answer.leaving or []:
+            node.relayed_leaving[InstanceId(instance)] = now
         if answer.nodes:
             self._note_demand(answer.nodes[0].node, answer.demand)
 
@@ -184,7 +186,16 @@
             if (view := node.group_view(group, now)) is not None
         ]
         nodes = [self._own_digest(), *digest_nodes(node.peers.all(), now)]
-        return answer_pull(pull, node.tail, views, nodes, self._own_demand(), node.contact_at, now)
+        return answer_pull(
+            pull,
+            node.tail,
+            views,
+            nodes,
+            self._own_demand(),
+            node.contact_at,
+            node.listed_leaving(),
+            now,
+        )
 
     def _answer_key(self, query: KeyQuery) -> KeyAnswer:
         entry = self.node.ledger.get(RequestKey(query.key))
--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -349,9 +349,7 @@
         entry = self._node.ledger.get(key) if key is not None and self._owns_key else None
         if key is None or entry is None or entry.state is not KeyState.RUNNING:
             return
-        ended = KeyState.UNKNOWN
-        if self.machine.outcome is Outcome.NOT_RUN:
-            ended = KeyState.NOT_RUN
+        ended = KeyState.UNKNOWN if self.machine.may_have_run else KeyState.NOT_RUN
         self._node.ledger.put(key, KeyEntry(ended, self._submission.digest))
 
 
--- a/briarpond/groups/_planner.py
+++ b/briarpond/groups/_planner.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from briarpond.configuration import DeploymentConfig, Document
+from briarpond.configuration import DeploymentConfig
 from briarpond.ids import (
     DataCentre,
     DeploymentId,
@@ -59,7 +59,17 @@
 
 
 class PlannerInput(msgspec.Struct, frozen=True):
-    """What one planning round looks at; `at_ms` is wall-clock time for the audit trail."""
+    """What one planning round looks at.
+
+    Attributes
+    ----------
+    at_ms : int
+        Wall-clock time for the audit trail.
+    ready : callable
+        Whether a group of any data centre is ready, by probes or peers' word.
+    planned : frozenset of DataCentre
+        Data centres that have live nodes to plan them.
+    """
 
     at_ms: int
     node: NodeId
@@ -69,6 +79,8 @@
     presence: PresenceTable
     policy: PlannerPolicy
     new_id: Callable[[], str]
+    ready: Callable[[Group], bool]
+    planned: frozenset[DataCentre]
 
 
 class _Trouble(Enum):
@@ -98,23 +110,28 @@
         self._note_releases(given.state, groups, now)
         self._forget_ended(groups)
         free = _FreePool(given, self._settled(given, now), now)
-        surplus = _surplus(given, groups)
+        rollouts = {
+            deployment_id: plan_rollout(given, deployment_id, free)
+            for deployment_id in {group.deployment for group in groups}
+        }
+        retire = {name for rollout in rollouts.values() for name in rollout.retire}
         proposals: list[Proposal] = []
         kept: list[Group] = []
         for group in sorted(groups, key=lambda group: group.id):
-            made, keeps = self._review(given, group, group.id in surplus, free, now)
+            made, keeps = self._review(given, group, group.id in retire, free, now)
             proposals += made
             if keeps:
                 kept.append(group)
-        return proposals + _fill(given, kept, free)
+        surge = Counter({name: rollout.surge for name, rollout in rollouts.items()})
+        return proposals + _fill(given, kept, surge, free)
 
     def _review(
-        self, given: PlannerInput, group: Group, surplus: bool, free: "_FreePool", now: float
+        self, given: PlannerInput, group: Group, retire: bool, free: "_FreePool", now: float
     ) -> tuple[list[Proposal], bool]:
         """Decide on one group; return proposals and whether it counts as capacity."""
         if group.phase is GroupPhase.RETIRING:
             return self._finish_retiring(given, group, now), False
-        trouble = self._diagnose(given, group, surplus, now)
+        trouble = self._diagnose(given, group, retire, now)
         match trouble:
             case _Trouble.CONFIGURED_AWAY | _Trouble.MEMBER_LEAVING:
                 return [_retire(given, group, trouble)], False
@@ -130,7 +147,7 @@
                 return [_dissolve(given, group, trouble)], False
         return [], True
 
-    def _diagnose(self, given: PlannerInput, group: Group, surplus: bool, now: float) -> _Trouble:
+    def _diagnose(self, given: PlannerInput, group: Group, retire: bool, now: float) -> _Trouble:
         key = (group.id, group.generation)
         readiness = group_readiness(group, given.presence, now, given.policy.presence_ttl_s)
         if readiness.ready:
@@ -138,7 +155,7 @@
             self._absent_since.pop(key, None)
         else:
             self._unready_since.setdefault(key, now)
-        if surplus or _wanted_spec(given.state.config.document, group) != group.spec:
+        if retire:
             return _Trouble.CONFIGURED_AWAY
         if _has_leaving_member(given, group):
             return _Trouble.MEMBER_LEAVING
@@ -226,19 +243,98 @@
     return _Trouble.MEMBER_LOST
 
 
-def _wanted_spec(document: Document, group: Group) -> GroupSpec | None:
-    deployment = document.deployments.get(group.deployment)
-    if deployment is None or deployment.group_size != len(group.members):
-        return None
-    return _spec_of(deployment)
-
-
 def _spec_of(deployment: DeploymentConfig) -> GroupSpec:
     return GroupSpec(
         deployment.model, deployment.version, tuple(sorted(deployment.adapters.items()))
     )
 
 
+class Rollout(msgspec.Struct, frozen=True):
+    """What is due for one deployment in one data centre.
+
+    Attributes
+    ----------
+    retire : frozenset of GroupId
+        Groups that are too many or outdated and may go now.
+    surge : int
+        Groups to form beyond the number wanted, before an outdated one goes.
+    """
+
+    retire: frozenset[GroupId] = frozenset()
+    surge: int = 0
+
+
+def plan_rollout(given: PlannerInput, deployment_id: DeploymentId, free: _FreePool) -> Rollout:
+    """Replace outdated groups one at a time over all data centres.
+
+    The next group is the same on every node: the first by data centre and name.
+    It goes only while every other group of the deployment is ready, and where
+    there is room, its replacement is formed and ready first.
+    """
+    deployment = given.state.config.document.deployments.get(deployment_id)
+    formed = [
+        group
+        for group in given.state.groups.values()
+        if group.deployment == deployment_id and group.phase is GroupPhase.FORMED
+    ]
+    here = [group for group in formed if group.data_centre == given.data_centre]
+    if deployment is None:
+        return Rollout(frozenset(group.id for group in here))
+    outdated = {group.id for group in formed if not _up_to_date(group, deployment)}
+    wanted = deployment.groups.get(given.data_centre, 0)
+    if len(here) > wanted:
+        return Rollout(_excess(given, here, outdated, wanted))
+    following = _next_outdated(given, formed, outdated)
+    if following is None or following.data_centre != given.data_centre:
+        return Rollout()
+    if not _steady(given, deployment_id, following, outdated):
+        return Rollout()
+    room = max(free.domains(deployment.service).values(), default=0)
+    if room >= deployment.group_size:
+        return Rollout(surge=1)
+    return Rollout(frozenset({following.id}))
+
+
+def _excess(
+    given: PlannerInput, here: list[Group], outdated: set[GroupId], wanted: int
+) -> frozenset[GroupId]:
+    """Return the groups beyond `wanted`: outdated ones first, then the newest.
+
+    An outdated group stays until what replaces it is ready.
+    """
+    current = [group for group in here if group.id not in outdated]
+    unready = sum(not given.ready(group) for group in current)
+    spare = len(here) - wanted
+    if outdated and current and unready and len(here) - unready <= wanted:
+        return frozenset()
+    ranked = sorted(here, key=lambda group: (group.id not in outdated, -group.generation))
+    return frozenset(group.id for group in ranked[:spare])
+
+
+def _next_outdated(
+    given: PlannerInput, formed: list[Group], outdated: set[GroupId]
+) -> Group | None:
+    candidates = [
+        group for group in formed if group.id in outdated and group.data_centre in given.planned
+    ]
+    return min(candidates, key=lambda group: (group.data_centre, group.id), default=None)
+
+
+def _steady(
+    given: PlannerInput, deployment_id: DeploymentId, following: Group, outdated: set[GroupId]
+) -> bool:
+    """Whether no other group of the deployment is on its way in or out."""
+    return all(
+        group.phase is GroupPhase.FORMED and (group.id in outdated or given.ready(group))
+        for group in given.state.groups.values()
+        if group.deployment == deployment_id and group.id != following.id
+    )
+
+
+def _up_to_date(group: Group, deployment: DeploymentConfig) -> bool:
+    return group.spec == _spec_of(deployment) and len(group.members) == deployment.group_size
+
+
 def _has_leaving_member(given: PlannerInput, group: Group) -> bool:
     members = {member.instance for member in group.members}
     return any(
@@ -246,27 +342,15 @@
     )
 
 
-def _surplus(given: PlannerInput, groups: list[Group]) -> set[GroupId]:
-    """Return groups beyond the number wanted, newest first."""
-    surplus: set[GroupId] = set()
-    by_deployment: dict[DeploymentId, list[Group]] = defaultdict(list)
-    for group in groups:
-        if group.phase is GroupPhase.FORMED:
-            by_deployment[group.deployment].append(group)
-    for deployment_id, members in by_deployment.items():
-        deployment = given.state.config.document.deployments.get(deployment_id)
-        wanted = deployment.groups.get(given.data_centre, 0) if deployment else 0
-        members.sort(key=lambda group: group.generation)
-        surplus |= {group.id for group in members[wanted:]}
-    return surplus
-
-
-def _fill(given: PlannerInput, kept: list[Group], free: _FreePool) -> list[Proposal]:
+def _fill(
+    given: PlannerInput, kept: list[Group], surge: Counter, free: _FreePool
+) -> list[Proposal]:
     """Form what is short, as far as fabric domains have room."""
     have = Counter(group.deployment for group in kept)
     proposals: list[Proposal] = []
     for deployment_id, deployment in sorted(given.state.config.document.deployments.items()):
-        short = deployment.groups.get(given.data_centre, 0) - have[DeploymentId(deployment_id)]
+        wanted = deployment.groups.get(given.data_centre, 0) + surge[DeploymentId(deployment_id)]
+        short = wanted - have[DeploymentId(deployment_id)]
         for _ in range(short):
             domain = _choose_domain(free.domains(deployment.service), deployment, given.policy)
             if domain is None:
--- a/briarpond/metrics/_registry.py
+++ b/briarpond/metrics/_registry.py
@@ -26,7 +26,7 @@
         self.config_version = self._gauge("briarpond_config_version", "Configuration in force.")
         self.groups = self._gauge("briarpond_groups", "Groups by readiness.")
         self.log_behind = self._gauge("briarpond_log_entries_behind", "Entries not folded yet.")
-        self.idle_accelerators = self._gauge(
+        self.stranded_accelerators = self._gauge(
             "briarpond_stranded_accelerators", "Accelerators of live instances in no ready group."
         )
 
--- a/briarpond/peers/_digest.py
+++ b/briarpond/peers/_digest.py
@@ -28,6 +28,7 @@
     nodes: list[NodeDigest],
     demand: list[AccountDemand],
     contact_at: float,
+    leaving: list[str],
     now: float,
 ) -> PullAnswer:
     """Return what this node knows beyond what the sender of `pull` has."""
@@ -46,6 +47,7 @@
         nodes,
         demand,
         snapshot,
+        leaving,
     )
 
 
--- a/briarpond/peers/_models.py
+++ b/briarpond/peers/_models.py
@@ -61,6 +61,8 @@
         Age of the peer's last contact with the end of the log.
     snapshot : bytes or None
         Whole state, if it was wanted and the entries do not reach back far enough.
+    leaving : list of str or None
+        Instances that the sender's list shows as leaving.
     """
 
     oldest: int
@@ -72,6 +74,7 @@
     nodes: list[NodeDigest]
     demand: list[AccountDemand]
     snapshot: bytes | None = None
+    leaving: list[str] | None = None
 
 
 class KeyQuery(msgspec.Struct, frozen=True):
--- a/briarpond/peers/gen/messages/ttypes.py
+++ b/briarpond/peers/gen/messages/ttypes.py
@@ -499,11 +499,12 @@
      - nodes
      - demand
      - snapshot
+     - leaving
 
     """
 
 
-    def __init__(self, oldest=None, following=None, highest_seen=None, contact_age_ms=None, rows=None, groups=None, nodes=None, demand=None, snapshot=None,):
+    def __init__(self, oldest=None, following=None, highest_seen=None, contact_age_ms=None, rows=None, groups=None, nodes=None, demand=None, snapshot=None, leaving=None,):
         self.oldest = oldest
         self.following = following
         self.highest_seen = highest_seen
@@ -513,6 +514,7 @@
         self.nodes = nodes
         self.demand = demand
         self.snapshot = snapshot
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -592,6 +594,16 @@
                     self.snapshot = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -621,35 +633,42 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter31 in self.rows:
-                iter31.write(oprot)
+            for iter37 in self.rows:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter32 in self.groups:
-                iter32.write(oprot)
+            for iter38 in self.groups:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.nodes))
-            for iter33 in self.nodes:
-                iter33.write(oprot)
+            for iter39 in self.nodes:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter34 in self.demand:
-                iter34.write(oprot)
+            for iter40 in self.demand:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.snapshot is not None:
             oprot.writeFieldBegin('snapshot', TType.STRING, 9)
             oprot.writeBinary(self.snapshot)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.leaving))
+            for iter41 in self.leaving:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1110,6 +1129,7 @@
     (7, TType.LIST, 'nodes', (TType.STRUCT, [NodeDigest, None], False), None, ),  # 7
     (8, TType.LIST, 'demand', (TType.STRUCT, [AccountDemand, None], False), None, ),  # 8
     (9, TType.STRING, 'snapshot', 'BINARY', None, ),  # 9
+    (10, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 10
 )
 all_structs.append(KeyQuery)
 KeyQuery.thrift_spec = (
--- a/briarpond/peers/messages.thrift
+++ b/briarpond/peers/messages.thrift
@@ -2,7 +2,7 @@
  * Messages between nodes. Fields are only ever added, as optional, so that
  * nodes of neighbouring releases understand each other.
  *
- * Regenerate: thrift --gen py:no_utf8strings -out briarpond/peers/gen briarpond/peers/messages.thrift
+ * Regenerate: thrift --gen py -out briarpond/peers/gen briarpond/peers/messages.thrift
  */
 namespace py messages
 
@@ -52,7 +52,8 @@
   6: required list<GroupDigest> groups,
   7: required list<NodeDigest> nodes,
   8: required list<AccountDemand> demand,
-  9: optional binary snapshot
+  9: optional binary snapshot,
+  10: optional list<string> leaving
 }
 
 /** Asks the owner of an idempotency key what became of the request. */
--- a/briarpond/requests/_machine.py
+++ b/briarpond/requests/_machine.py
@@ -131,10 +131,11 @@
                 self.stage = Stage.ASKING
                 return [AskOwner(self.plan.key)]
             case ClaimResult.REUSED:
-                message = "This idempotency key stands for another request."
+                message = "This idempotency key stands for another request; this one did not run."
                 return self._refuse(RefusalCode.KEY_REUSED, 422, message)
-        message = "The platform's log did not answer in time."
-        return self._refuse(RefusalCode.LOG_UNAVAILABLE, 503, message)
+        # This node has not run it, but the same key may have run by another one.
+        message = "The platform's log did not answer in time; ask again with the same key."
+        return self._refuse_unknown(RefusalCode.LOG_UNAVAILABLE, 503, message)
 
     def on_owner(self, entry: KeyEntry | None, now: float) -> list[Effect]:
         """Repeat what the owner of the key says; None if it cannot be asked."""
@@ -148,8 +149,9 @@
             case KeyState.RUNNING:
                 return [AskOwner(self.plan.key, _ASK_AGAIN_S)]
             case KeyState.NOT_RUN:
-                message = "The first request with this key was not run."
-                return self._refuse(RefusalCode.KEY_ENDED, 503, message)
+                # It may be run there before this word arrives, so it is not passed on as true.
+                message = "The first request with this key has not run yet; ask again."
+                return self._refuse_unknown(RefusalCode.KEY_ENDED, 503, message)
             case KeyState.ANSWERED if entry.body is not None:
                 headers = (("content-type", entry.content_type),)
                 head = ReplyHead(entry.status, headers, False, Outcome.ANSWERED)
@@ -366,7 +368,8 @@
 
     def _refuse_unknown(self, code: RefusalCode, status: int, message: str) -> list[Effect]:
         self._close(Outcome.UNKNOWN)
-        return [ReplyRefusal(Refusal(code, Outcome.UNKNOWN, status, message), False)]
+        wait_s = _RETRY_SOON_S if status == 503 else 0.0
+        return [ReplyRefusal(Refusal(code, Outcome.UNKNOWN, status, message, wait_s), False)]
 
     def _refuse_in_stream(self, code: RefusalCode, message: str) -> list[Effect]:
         refusal = Refusal(code, Outcome.UNKNOWN, 502, message)
@@ -384,6 +387,7 @@
         return effects
 
     def _close(self, outcome: Outcome) -> None:
+        self._earlier_may_have_run = self.may_have_run
         self.stage = Stage.DONE
         self.outcome = outcome
         self._attempt = None
