--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,5 @@
+export PYTHONHASHSEED = 0
+
 PYTHON ?= python3
 VENV ?= .venv
 
--- a/briarpond/daemon/_fleet_link.py
+++ b/briarpond/daemon/_fleet_link.py
@@ -66,11 +66,13 @@
         if self._listing:
             return
         self._listing = True
+        asked_at = self._node.clock.now()
 
         def done(status: int, body: bytes) -> None:
             self._listing = False
             fleet = decode_fleet(body) if status == 200 else None
             if fleet is not None and fleet.is_ok():
+                self._node.leaving_known_at = max(self._node.leaving_known_at, asked_at)
                 self._node.fleet = {row.instance: row for row in fleet.ok.instances}
 
         def lost(reason: LossReason) -> None:
--- a/briarpond/daemon/_node.py
+++ b/briarpond/daemon/_node.py
@@ -26,6 +26,7 @@
 OTHER_DATA_CENTRE_S = 0.01
 CONTACT_NEVER = float("-inf")
 RELAYED_LEAVING_S = 10.0
+LEAVING_KNOWN_S = 3.0
 
 
 class NodeContext:
@@ -39,6 +40,8 @@
         Views of groups that peers probe, by group.
     relayed_leaving : dict
         Instance to when a peer last said that its list shows it as leaving.
+    leaving_known_at : float
+        Monotonic time at which the list, or a peer, was last asked with success.
     contact_at : float
         Monotonic time at which the log, directly or by a peer, was last known
         to be folded to its end.
@@ -73,6 +76,7 @@
         self.own = OwnWork()
         self.drain = Drain(SPREAD_S, settings.stop.entry_ttl_s, settings.stop.limit_s)
         self.contact_at = CONTACT_NEVER
+        self.leaving_known_at = CONTACT_NEVER
         self.in_flight = 0
         self._accounts = AccountIndex(self.document)
         self._accounts_version = 0
@@ -111,6 +115,15 @@
         """Whether the folded state is recent enough for non-idempotent requests."""
         return now - self.contact_at <= self.settings.timing.contact_lost_s
 
+    def knows_leaving(self, now: float) -> bool:
+        """Whether this node would have learnt by now that an instance leaves.
+
+        A node that hears neither the list nor any peer must not send work to
+        servers that may have left; one without peers has nobody else to ask.
+        """
+        alone = not any(True for _ in self.live_peers())
+        return alone or now - self.leaving_known_at <= LEAVING_KNOWN_S
+
     def group_view(self, group: Group, now: float) -> GroupView | None:
         """Return what is known of a group: the newer of own probes and peers' word."""
         own = self._own_view(group, now)
@@ -158,6 +171,8 @@
 
     def group_candidates(self, model: str, adapter: str | None, now: float) -> list[Candidate]:
         """Return the ready groups that hold a model and adapter."""
+        if not self.knows_leaving(now):
+            return []
         found = []
         for group in self.tail.state.groups.values():
             if group.spec.model != model:
@@ -173,6 +188,8 @@
 
     def server_candidates(self, service: str, now: float) -> list[Candidate]:
         """Return the live servers of a plain service."""
+        if not self.knows_leaving(now):
+            return []
         found = []
         for row in self.fleet.values():
             if row.service != service or self.is_leaving(row.instance, now):
--- a/briarpond/daemon/_peer_link.py
+++ b/briarpond/daemon/_peer_link.py
@@ -137,6 +137,7 @@
         for view in merge_nodes(answer.nodes, asked_at):
             if view.node != node.id:
                 node.peers.hear(view)
+        node.leaving_known_at = max(node.leaving_known_at, asked_at)
         for instance in answer.leaving or []:
             node.relayed_leaving[InstanceId(instance)] = now
         if answer.nodes:
