--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module is one command and prints a Markdown table."""
--- a/briarpond/admission/_limits.py
+++ b/briarpond/admission/_limits.py
@@ -97,6 +97,11 @@
         usage.in_flight -= 1
         usage.tokens += unused_tokens
 
+    def demand_of(self, account: AccountId) -> float:
+        """Return the recent demand of one account here, requests per second."""
+        usage = self._usage.get(account)
+        return usage.rate if usage is not None else 0.0
+
     def demand(self) -> dict[AccountId, float]:
         """Return the recent demand of each account here, requests per second."""
         return {account: usage.rate for account, usage in self._usage.items()}
--- a/briarpond/daemon/_node.py
+++ b/briarpond/daemon/_node.py
@@ -11,7 +11,7 @@
 from briarpond.conf import Address, Settings
 from briarpond.configuration import Document
 from briarpond.groups import GroupView, PresenceTable, group_readiness
-from briarpond.ids import DataCentre, GroupId, Incarnation, InstanceId, NodeId, RecordId
+from briarpond.ids import AccountId, DataCentre, GroupId, Incarnation, InstanceId, NodeId, RecordId
 from briarpond.journal import Group, GroupPhase, Node, Outbox, Record, Settled, Tail
 from briarpond.metrics import Metrics
 from briarpond.nodes import Drain, PeerViews
@@ -220,7 +220,7 @@
         """Return the other nodes in the folded state."""
         return [node for node in self.tail.state.nodes.values() if node.id != self.id]
 
-    def account_share(self, account: str, now: float) -> float:
+    def account_share(self, account: AccountId, now: float) -> float:
         """Return this node's part of an account's limits.
 
         Half of the limit is split evenly, so that every node can begin to serve
@@ -228,7 +228,7 @@
         """
         alive = self.peers.alive(now, self.settings.timing.peer_dead_s)
         even = 1.0 / (1 + len(alive))
-        mine = self.limiter.demand().get(account, 0.0)
+        mine = self.limiter.demand_of(account)
         others = sum(self.peer_demand.get(node, {}).get(account, 0.0) for node in alive)
         demanded = mine / (mine + others) if mine + others > 0 else even
         return 0.5 * even + 0.5 * demanded
