--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -158,24 +158,25 @@
 def race(deployment, load):
     """Let operators race five times, two patches each."""
     for number in range(5):
-        names = list(deployment.nodes)
-        version = deployment.operator(names[0], "GET", "/operator/configuration").json()["version"]
-        patch = {"accounts": {"wren": {"weight": 1.0 + number}}}
-        body = {"base_version": version, "patch": patch}
-        answers = []
-        threads = [
-            threading.Thread(
-                target=lambda name=name: answers.append(
-                    deployment.operator(name, "POST", "/operator/patches", body).json()["verdict"]
-                )
-            )
-            for name in names[:2]
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        assert sorted(answers) == ["accepted", "stale"], answers
+        _race_once(deployment, {"accounts": {"wren": {"weight": 1.0 + number}}})
+
+
+def _race_once(deployment, patch) -> None:
+    names = list(deployment.nodes)[:2]
+    version = deployment.operator(names[0], "GET", "/operator/configuration").json()["version"]
+    body = {"base_version": version, "patch": patch}
+    answers = []
+
+    def submit(name: str) -> None:
+        answer = deployment.operator(name, "POST", "/operator/patches", body)
+        answers.append(answer.json()["verdict"])
+
+    threads = [threading.Thread(target=submit, args=(name,)) for name in names]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sorted(answers) == ["accepted", "stale"], answers
 
 
 FAULTS = {
--- a/briarpond/admission/__init__.py
+++ b/briarpond/admission/__init__.py
@@ -2,5 +2,15 @@
 
 from ._accounts import AccountIndex, key_hash
 from ._limits import AccountLimiter, Admitted, Denied
+from ._queue import FairQueue, QueueFull, Waiting
 
-__all__ = ["AccountIndex", "AccountLimiter", "Admitted", "Denied", "key_hash"]
+__all__ = [
+    "AccountIndex",
+    "AccountLimiter",
+    "Admitted",
+    "Denied",
+    "FairQueue",
+    "QueueFull",
+    "Waiting",
+    "key_hash",
+]
--- a/briarpond/configuration/_models.py
+++ b/briarpond/configuration/_models.py
@@ -97,6 +97,10 @@
         Idempotency keys remembered, newest first.
     engine_timeout_s : float
         Longest time without a byte from an engine.
+    engine_slots, server_slots : int
+        Requests at one group or plain server beyond which others wait here.
+    prefill_s_per_kb : float
+        Time that an engine takes to compute 1,024 bytes of prompt, seconds.
     """
 
     downtime_weight: Annotated[float, Field(ge=0, le=1)] = 0.5
@@ -105,6 +109,9 @@
     load_timeout_s: Annotated[float, Field(gt=0, le=7200)] = 120.0
     claims_kept: Annotated[int, Field(ge=100, le=1_000_000)] = 20_000
     engine_timeout_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
+    engine_slots: Annotated[int, Field(ge=1, le=10_000)] = 64
+    server_slots: Annotated[int, Field(ge=1, le=10_000)] = 256
+    prefill_s_per_kb: Annotated[float, Field(ge=0, le=60)] = 0.05
 
 
 class Document(_Strict):
--- a/briarpond/daemon/_callers.py
+++ b/briarpond/daemon/_callers.py
@@ -1,7 +1,7 @@
 """Paths for callers: models, plain services, entry addresses, health."""
 
 import re
-from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from circuits.web.wrappers import Request
@@ -21,7 +21,7 @@
     Target,
     key_digest,
 )
-from briarpond.routing import Candidate, choose
+from briarpond.routing import Candidate, Hint, prefix_of
 
 from ._fleet_link import FleetLink
 from ._inbound import Reply
@@ -37,6 +37,7 @@
     kind_of,
     refuse,
 )
+from ._waiting import Pool, WaitingRoom
 
 DEADLINE_HEADER = "Briarpond-Deadline-Ms"
 IDEMPOTENT_HEADER = "Briarpond-Idempotent"
@@ -49,10 +50,16 @@
 _SERVICE_PREFIX = "/services/"
 
 
+class _Message(msgspec.Struct):
+    content: Any = None
+
+
 class ModelRequest(msgspec.Struct):
     """The fields of a model request that decide how it is handled."""
 
     model: str
+    messages: list[_Message] = []
+    prompt: Any = None
     stream: bool = False
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
@@ -63,6 +70,11 @@
         bound = self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
         return max(1, bound)
 
+    def texts(self) -> list[str]:
+        """Return the texts of the prompt, a text for each message."""
+        contents = [message.content for message in self.messages] or [self.prompt]
+        return [text if isinstance(text, str) else repr(text) for text in contents]
+
 
 class ModelRow(msgspec.Struct):
     """One model in the list of models."""
@@ -98,6 +110,7 @@
         self._ask_key = ask_key
         self._fleet = fleet
         self._runners: set[Runner] = set()
+        self._waiting = WaitingRoom(node)
 
     @property
     def runners(self) -> set[Runner]:
@@ -106,6 +119,7 @@
 
     def tick(self) -> None:
         """Let every request in flight enforce its times."""
+        self._waiting.tick(self._node.clock.now())
         for runner in list(self._runners):
             runner.tick()
 
@@ -218,8 +232,12 @@
         def candidates(now: float) -> list[Candidate]:
             return self._node.group_candidates(model, adapter or None, now)
 
+        policy = self._node.document.policy
+        prefix = prefix_of(parsed.model, parsed.texts())
+        hint = Hint(prefix, policy.prefill_s_per_kb * len(body) / 1024)
+        pool = Pool(f"model/{parsed.model}", candidates, policy.engine_slots, hint)
         plan = self._plan(account, request, kind_of(parsed.stream), idempotent, timeout_s)
-        self._submit(request, request.path, body, reply, plan, candidates, parsed.token_bound)
+        self._submit(request, request.path, body, reply, plan, pool, parsed.token_bound)
 
     def _service_request(self, account: AccountId, request: Request, reply: Reply) -> None:
         name, _, rest = request.path.removeprefix(_SERVICE_PREFIX).partition("/")
@@ -233,8 +251,9 @@
         def candidates(now: float) -> list[Candidate]:
             return self._node.server_candidates(name, now)
 
+        pool = Pool(f"service/{name}", candidates, self._node.document.policy.server_slots, Hint())
         plan = self._plan(account, request, None, idempotent, service.timeout_s)
-        self._submit(request, target, request.body.read(), reply, plan, candidates, 0)
+        self._submit(request, target, request.body.read(), reply, plan, pool, 0)
 
     def _plan(
         self, account: AccountId, request: Request, kind, idempotent: bool, silence_s: float
@@ -263,7 +282,7 @@
         body: bytes,
         reply: Reply,
         plan: RequestPlan | Refusal,
-        candidates: Callable[[float], list[Candidate]],
+        pool: Pool,
         tokens: int,
     ) -> None:
         node = self._node
@@ -288,26 +307,33 @@
         submission = Submission(request.method, target, headers, body, account.priority, digest)
 
         def pick(avoided: frozenset[str], now: float) -> Target | None:
-            chosen = choose(candidates(now), node.own, avoided, node.rng)
+            chosen = node.router.choose(pool.candidates(now), pool.hint, avoided, now)
             return chosen.target if chosen else None
 
         machine = RequestMachine(
             plan, pick, node.budget, lambda: AttemptId(f"{node.id}-{node.new_id()}")
         )
-        runner = Runner(node, self._fleet, machine, submission, reply, self._ask_key, self._done)
+
+        def done(runner: Runner) -> None:
+            self._done(runner, pool, tokens)
+
+        runner = Runner(
+            node, self._fleet, machine, submission, reply, pool.hint, self._ask_key, done
+        )
         self._runners.add(runner)
         node.in_flight += 1
         node.metrics.in_flight.set({}, node.in_flight)
-        runner.start()
+        self._waiting.admit(runner, pool, account.weight, 1.0 + tokens, node.clock.now())
 
-    def _done(self, runner: Runner) -> None:
+    def _done(self, runner: Runner, pool: Pool, tokens: int) -> None:
         node = self._node
         plan = runner.machine.plan
         now = node.clock.now()
         self._runners.discard(runner)
         node.in_flight -= 1
         node.metrics.in_flight.set({}, node.in_flight)
-        node.limiter.finish(plan.account, 0)
+        used = runner.tokens_used if runner.tokens_used is not None else runner.machine.events_sent
+        node.limiter.finish(plan.account, max(0, tokens - used))
         outcome = runner.machine.outcome
         assert outcome is not None
         node.metrics.requests.inc({"kind": plan.kind.value, "outcome": outcome.value})
@@ -315,6 +341,8 @@
         if runner.machine.first_byte_at is not None:
             waited = runner.machine.first_byte_at - runner.started_at
             node.metrics.first_byte.observe({"kind": plan.kind.value}, waited)
+        # Not from within the end of another request: that one must finish first.
+        node.clock.after(0.0, lambda: self._waiting.serve(pool, node.clock.now()))
 
     def _refusal_at_door(self, plan: RequestPlan) -> Refusal | None:
         node = self._node
--- a/briarpond/daemon/_node.py
+++ b/briarpond/daemon/_node.py
@@ -17,7 +17,7 @@
 from briarpond.nodes import Drain, PeerViews
 from briarpond.platform import EngineLoad, FleetInstance, InstanceState
 from briarpond.requests import KeyLedger, RetryBudget, Target, TargetKind
-from briarpond.routing import Candidate, OwnWork
+from briarpond.routing import Candidate, Router
 
 from ._clock import Clock
 from ._http_client import HttpClient
@@ -73,7 +73,7 @@
         self.budget = RetryBudget()
         self.limiter = AccountLimiter()
         self.peer_demand: dict[NodeId, dict[str, float]] = {}
-        self.own = OwnWork()
+        self.router = Router(self.rng)
         self.drain = Drain(SPREAD_S, settings.stop.entry_ttl_s, settings.stop.limit_s)
         self.contact_at = CONTACT_NEVER
         self.leaving_known_at = CONTACT_NEVER
--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from briarpond.ids import AttemptId, Incarnation, NodeId, RequestKey
+from briarpond.ids import AttemptId, Incarnation, InstanceId, NodeId, RequestKey
 from briarpond.journal import KeyClaim, Settled
 from briarpond.platform import (
     GENERATION_HEADER,
@@ -26,6 +26,7 @@
     LossReason,
     Outcome,
     Refusal,
+    RefusalCode,
     ReplyData,
     ReplyEnd,
     ReplyHead,
@@ -34,6 +35,7 @@
     RequestMachine,
     Target,
 )
+from briarpond.routing import Hint
 
 from ._fleet_link import FleetLink
 from ._http_client import Exchange, Headers, HttpCall
@@ -70,34 +72,43 @@
         machine: RequestMachine,
         submission: Submission,
         reply: Reply,
+        hint: Hint,
         ask_key: AskKey,
         on_done: Callable[["Runner"], None],
     ) -> None:
         self.machine = machine
         self.started_at = node.clock.now()
+        self.tokens_used: int | None = None
         self._node = node
         self._fleet = fleet
         self._submission = submission
         self._reply = reply
+        self._hint = hint
         self._ask_key = ask_key
         self._on_done = on_done
         self._owns_key = False
         self._exchange: Exchange | None = None
         self._paused = False
-        self._instance: str | None = None
+        self._instance: InstanceId | None = None
+        self._begun_at = 0.0
+        self._heard = False
         self._head: ReplyHead | None = None
         self._kept = b""
 
     def start(self) -> None:
-        """Begin."""
-        self._reply.on_gone = self._on_caller_gone
-        self._reply.on_drained = self._on_drained
+        """Begin, unless the request has ended while it waited."""
+        if self.machine.done:
+            return
         self.run(self.machine.start(self._now()))
 
     def tick(self) -> None:
         """Let the machine enforce its times."""
         self.run(self.machine.on_tick(self._now()))
 
+    def refuse(self, code: RefusalCode, status: int, message: str, wait_s: float) -> None:
+        """End a request that was never started."""
+        self.run(self.machine.on_not_admitted(code, status, message, wait_s))
+
     def stop(self) -> None:
         """End now with the true outcome."""
         self.run(self.machine.on_stop(self._now()))
@@ -227,6 +238,7 @@
         kind = "first" if self.machine.attempts == 1 else "retry"
         node.metrics.attempts.inc({"kind": kind})
         self._begin_work(effect.target)
+        self._heard = False
         submission = self._submission
         call = HttpCall(
             address,
@@ -235,7 +247,7 @@
             (*submission.headers, *self._engine_headers(effect)),
             submission.body,
             lambda status, headers: self._got_head(attempt, status, headers),
-            lambda data: self.run(self.machine.on_body(attempt, data, self._now())),
+            lambda data: self._got_body(attempt, data),
             lambda: self._ended(attempt),
             lambda reason: self._lost(attempt, reason),
             lambda: self.machine.on_sent(attempt, self._now()),
@@ -260,6 +272,14 @@
         passed = tuple((name, value) for name, value in headers if name in _PASSED_HEADERS)
         self.run(self.machine.on_head(attempt, status, passed, not_run, self._now()))
 
+    def _got_body(self, attempt: AttemptId, data: bytes) -> None:
+        now = self._now()
+        if not self._heard and self._instance is not None:
+            self._heard = True
+            if self.machine.plan.kind is not RequestKind.MODEL_WHOLE:
+                self._node.router.first_byte(self._instance, now - self._begun_at, now)
+        self.run(self.machine.on_body(attempt, data, now))
+
     def _ended(self, attempt: AttemptId) -> None:
         self._end_exchange(cancel=False)
         self.run(self.machine.on_end(attempt, self._now()))
@@ -273,7 +293,8 @@
 
     def _begin_work(self, target: Target) -> None:
         self._instance = target.instance
-        self._node.own.begin(target.instance, self._now())
+        self._begun_at = self._now()
+        self._node.router.begin(target.instance, self._hint, self._begun_at)
 
     def _end_exchange(self, cancel: bool) -> None:
         if cancel and self._exchange is not None:
@@ -281,7 +302,7 @@
         self._exchange = None
         self._paused = False
         if self._instance is not None:
-            self._node.own.end(self._instance, self._now())
+            self._node.router.end(self._instance, self._now())
             self._instance = None
 
     def _on_reply_head(self, effect: ReplyHead) -> None:
@@ -312,9 +333,25 @@
             self._reply.end()
             return
         headers = (*head.headers, *self._outcome(head.outcome))
+        self._learn_usage(head)
         self._remember_answer(head)
         self._reply.whole(head.status, headers, self._kept)
 
+    def _learn_usage(self, head: ReplyHead) -> None:
+        """Learn from a whole model answer what it used and whether its prefix was cached."""
+        if self.machine.plan.kind is not RequestKind.MODEL_WHOLE or head.status != 200:
+            return
+        try:
+            usage = msgspec.json.decode(self._kept, type=_UsageBody).usage
+        except msgspec.MsgspecError:
+            return
+        if usage is None:
+            return
+        self.tokens_used = usage.completion_tokens
+        details = usage.prompt_tokens_details
+        if details is not None and details.cached_tokens == 0 and self.machine.target is not None:
+            self._node.router.missed(self.machine.target.instance, self._hint)
+
     def _remember_answer(self, head: ReplyHead) -> None:
         key = self.machine.plan.key
         if key is None or not self._owns_key:
@@ -353,6 +390,19 @@
         self._node.ledger.put(key, KeyEntry(ended, self._submission.digest))
 
 
+class _PromptDetails(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int = 0
+    prompt_tokens_details: _PromptDetails | None = None
+
+
+class _UsageBody(msgspec.Struct):
+    usage: _Usage | None = None
+
+
 class ErrorDetail(msgspec.Struct):
     """Error in the shape that clients of model APIs expect."""
 
--- a/briarpond/requests/_machine.py
+++ b/briarpond/requests/_machine.py
@@ -110,6 +110,11 @@
         """Whether any attempt may have run at a backend server."""
         return self._earlier_may_have_run or self.stage in (Stage.SENT, Stage.ANSWERING)
 
+    @property
+    def _key_unsettled(self) -> bool:
+        unsettled = (Stage.NEW, Stage.CLAIMING, Stage.ASKING)
+        return self.plan.key is not None and self.stage in unsettled
+
     def start(self, now: float) -> list[Effect]:
         """Begin: claim the key first if there is one."""
         assert self.stage is Stage.NEW
@@ -119,6 +124,14 @@
             return [Claim(self.plan.key)]
         return self._next_attempt(now)
 
+    def on_not_admitted(
+        self, code: RefusalCode, status: int, message: str, retry_after_s: float
+    ) -> list[Effect]:
+        """End a request that was never started."""
+        if self.stage is not Stage.NEW:
+            return []
+        return self._refuse(code, status, message, retry_after_s)
+
     def on_claim(self, result: ClaimResult, now: float) -> list[Effect]:
         """Go on once the claim on the key is settled."""
         if self.stage is not Stage.CLAIMING:
@@ -132,7 +145,9 @@
                 return [AskOwner(self.plan.key)]
             case ClaimResult.REUSED:
                 message = "This idempotency key stands for another request; this one did not run."
-                return self._refuse(RefusalCode.KEY_REUSED, 422, message)
+                self._close(Outcome.NOT_RUN)
+                refusal = Refusal(RefusalCode.KEY_REUSED, Outcome.NOT_RUN, 422, message)
+                return [ReplyRefusal(refusal, False)]
         # This node has not run it, but the same key may have run by another one.
         message = "The platform's log did not answer in time; ask again with the same key."
         return self._refuse_unknown(RefusalCode.LOG_UNAVAILABLE, 503, message)
@@ -258,7 +273,7 @@
         if not self.plan.idempotent and (self.plan.key is not None or self.may_have_run):
             return []
         effects = self._cancel_current()
-        unsure = self.may_have_run or self.stage is Stage.ASKING
+        unsure = self.may_have_run or self._key_unsettled
         self._close(Outcome.UNKNOWN if unsure else Outcome.NOT_RUN)
         return effects
 
@@ -266,17 +281,12 @@
         """End with the true outcome because the node must stop now."""
         if self.done:
             return []
-        if self.stage is Stage.ASKING:
-            return self._refuse_unknown(RefusalCode.DRAINING, 503, "This node had to stop.")
         return self._give_up(RefusalCode.DRAINING, 503, "This node had to stop.")
 
     def on_tick(self, now: float) -> list[Effect]:
         """Enforce the deadline and the bound on silence."""
         if self.done:
             return []
-        if now >= self.plan.deadline and self.stage is Stage.ASKING:
-            message = "The first request with this key is still running."
-            return self._refuse_unknown(RefusalCode.DEADLINE, 504, message)
         if now >= self.plan.deadline:
             return self._give_up(RefusalCode.DEADLINE, 504, "The deadline has passed.")
         silent = now - self.last_byte_at >= self.plan.silence_s
@@ -360,10 +370,14 @@
             return effects + self._refuse(code, status, message)
         return effects + self._refuse_unknown(code, status, message)
 
-    def _refuse(self, code: RefusalCode, status: int, message: str) -> list[Effect]:
+    def _refuse(
+        self, code: RefusalCode, status: int, message: str, retry_after_s: float = _RETRY_SOON_S
+    ) -> list[Effect]:
+        """End without a run; while its key is unsettled, another node may have run it."""
         assert not self.may_have_run and not self._head_out
-        refusal = Refusal(code, Outcome.NOT_RUN, status, message, _RETRY_SOON_S)
-        self._close(Outcome.NOT_RUN)
+        outcome = Outcome.UNKNOWN if self._key_unsettled else Outcome.NOT_RUN
+        refusal = Refusal(code, outcome, status, message, retry_after_s)
+        self._close(outcome)
         return [ReplyRefusal(refusal, False)]
 
     def _refuse_unknown(self, code: RefusalCode, status: int, message: str) -> list[Effect]:
--- a/briarpond/routing/_models.py
+++ b/briarpond/routing/_models.py
@@ -24,3 +24,18 @@
     reported: float
     reported_at: float
     distance_s: float = 0.0
+
+
+class Hint(msgspec.Struct, frozen=True):
+    """What is known of a request that matters for the choice.
+
+    Attributes
+    ----------
+    prefix : str or None
+        Digest of the part of the prompt that other requests are likely to share.
+    prefix_s : float
+        Time that a prefill of that part takes, seconds.
+    """
+
+    prefix: str | None = None
+    prefix_s: float = 0.0
