Routing by expected first-byte time; requests wait at the node for room

Load counted requests being answered like requests waiting for their prefill, which is what a first token waits for.

Change: reports tell waiting from running requests; the expected first-byte time is the waiting ones times the typical prefill, plus the own prefill less what is cached, times the measured slowness of the instance. A request is sent only when that fits its target, else it waits in the fair queue or is refused.

--- a/briarpond/admission/_queue.py
+++ b/briarpond/admission/_queue.py
@@ -21,11 +21,19 @@
 
 
 class Waiting(msgspec.Struct):
-    """A request in the queue; `begin` is called when its turn comes."""
+    """A request in the queue.
+
+    Attributes
+    ----------
+    begin : callable
+        Called when its turn comes; returns whether there was room for it.
+    expire : callable
+        Called when its deadline has passed.
+    """
 
     account: AccountId
     deadline: float
-    begin: Callable[[], None]
+    begin: Callable[[], bool]
     expire: Callable[[], None]
     left: bool = False
 
@@ -75,20 +83,30 @@
         heapq.heappush(self._heap, (start, next(self._order), waiting))
         return None
 
-    def pop(self, now: float) -> Waiting | None:
-        """Take the next request, None if none waits."""
-        while self._heap:
-            tag, _, waiting = heapq.heappop(self._heap)
-            if waiting.left:
-                continue
+    def serve(self, now: float, most: int) -> int:
+        """Begin requests in fair order while there is room; return how many."""
+        begun = 0
+        while begun < most and self._drop_left():
+            tag, _, waiting = self._heap[0]
+            if not waiting.begin():
+                break
+            heapq.heappop(self._heap)
             self._virtual = max(self._virtual, tag)
             self._remove(waiting)
             self._note_service(now)
-            return waiting
+            begun += 1
+        return begun
+
+    def _drop_left(self) -> bool:
+        """Drop requests that have left; return whether any other waits."""
+        while self._heap and self._heap[0][2].left:
+            heapq.heappop(self._heap)
+        if self._heap:
+            return True
         self._last_tag.clear()
         self._virtual = 0.0
         self._served_at = None
-        return None
+        return False
 
     def leave(self, waiting: Waiting) -> None:
         """Take a request out because its caller has left."""
--- a/briarpond/configuration/_models.py
+++ b/briarpond/configuration/_models.py
@@ -99,6 +99,10 @@
         Longest time without a byte from an engine.
     engine_slots, server_slots : int
         Requests at one group or plain server beyond which others wait here.
+    first_token_s : float
+        First-byte time beyond which a request waits at the node, seconds.
+    queue_s : float
+        Longest wait at the node of a request without a deadline, seconds.
     prefill_s_per_kb : float
         Time that an engine takes to compute 1,024 bytes of prompt, seconds.
     """
@@ -111,6 +115,8 @@
     engine_timeout_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
     engine_slots: Annotated[int, Field(ge=1, le=10_000)] = 64
     server_slots: Annotated[int, Field(ge=1, le=10_000)] = 256
+    first_token_s: Annotated[float, Field(gt=0, le=600)] = 0.9
+    queue_s: Annotated[float, Field(gt=0, le=600)] = 10.0
     prefill_s_per_kb: Annotated[float, Field(ge=0, le=60)] = 0.05
 
 
--- a/briarpond/daemon/_callers.py
+++ b/briarpond/daemon/_callers.py
@@ -18,14 +18,15 @@
     RequestKind,
     RequestMachine,
     RequestPlan,
-    Target,
     key_digest,
 )
-from briarpond.routing import Candidate, Hint, prefix_of
+from briarpond.routing import Candidate, Hint, hint_of
 
+from ._attempts import Attempts
 from ._fleet_link import FleetLink
 from ._inbound import Reply
 from ._node import NodeContext
+from ._pool import Pool
 from ._runner import (
     NODE_HEADER,
     OUTCOME_HEADER,
@@ -37,7 +38,7 @@
     kind_of,
     refuse,
 )
-from ._waiting import Pool, WaitingRoom
+from ._waiting import WaitingRoom
 
 DEADLINE_HEADER = "Briarpond-Deadline-Ms"
 IDEMPOTENT_HEADER = "Briarpond-Idempotent"
@@ -233,8 +234,7 @@
             return self._node.group_candidates(model, adapter or None, now)
 
         policy = self._node.document.policy
-        prefix = prefix_of(parsed.model, parsed.texts())
-        hint = Hint(prefix, policy.prefill_s_per_kb * len(body) / 1024)
+        hint = hint_of(parsed.model, parsed.texts(), policy.prefill_s_per_kb)
         pool = Pool(f"model/{parsed.model}", candidates, policy.engine_slots, hint)
         plan = self._plan(account, request, kind_of(parsed.stream), idempotent, timeout_s)
         self._submit(request, request.path, body, reply, plan, pool, parsed.token_bound)
@@ -306,24 +306,22 @@
         )
         submission = Submission(request.method, target, headers, body, account.priority, digest)
 
-        def pick(avoided: frozenset[str], now: float) -> Target | None:
-            chosen = node.router.choose(pool.candidates(now), pool.hint, avoided, now)
-            return chosen.target if chosen else None
-
+        attempts = Attempts(node.router, pool)
         machine = RequestMachine(
-            plan, pick, node.budget, lambda: AttemptId(f"{node.id}-{node.new_id()}")
+            plan, attempts.choose, node.budget, lambda: AttemptId(f"{node.id}-{node.new_id()}")
         )
 
         def done(runner: Runner) -> None:
             self._done(runner, pool, tokens)
 
         runner = Runner(
-            node, self._fleet, machine, submission, reply, pool.hint, self._ask_key, done
+            node, self._fleet, machine, submission, reply, attempts, self._ask_key, done
         )
         self._runners.add(runner)
         node.in_flight += 1
         node.metrics.in_flight.set({}, node.in_flight)
-        self._waiting.admit(runner, pool, account.weight, 1.0 + tokens, node.clock.now())
+        now = node.clock.now()
+        self._waiting.admit(runner, attempts, pool.name, account.weight, 1.0 + tokens, now)
 
     def _done(self, runner: Runner, pool: Pool, tokens: int) -> None:
         node = self._node
@@ -342,7 +340,7 @@
             waited = runner.machine.first_byte_at - runner.started_at
             node.metrics.first_byte.observe({"kind": plan.kind.value}, waited)
         # Not from within the end of another request: that one must finish first.
-        node.clock.after(0.0, lambda: self._waiting.serve(pool, node.clock.now()))
+        node.clock.after(0.0, lambda: self._waiting.serve(pool.name, node.clock.now()))
 
     def _refusal_at_door(self, plan: RequestPlan) -> Refusal | None:
         node = self._node
--- a/briarpond/daemon/_node.py
+++ b/briarpond/daemon/_node.py
@@ -195,7 +195,9 @@
             if row.service != service or self.is_leaving(row.instance, now):
                 continue
             target = Target(TargetKind.SERVER, row.instance, row.address)
-            found.append(Candidate(target, 0.0, CONTACT_NEVER, self._distance(row.data_centre)))
+            found.append(
+                Candidate(target, 0.0, 0.0, CONTACT_NEVER, self._distance(row.data_centre))
+            )
         return found
 
     def listed_leaving(self) -> list[str]:
@@ -237,7 +239,7 @@
         head = group.members[0]
         target = Target(TargetKind.GROUP, head.instance, head.address, group.id, group.generation)
         return Candidate(
-            target, load.running + load.queued, load_at, self._distance(group.data_centre)
+            target, load.queued, load.running, load_at, self._distance(group.data_centre)
         )
 
     def _has_leaving_member(self, group: Group, now: float) -> bool:
--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from briarpond.ids import AttemptId, Incarnation, InstanceId, NodeId, RequestKey
+from briarpond.ids import AttemptId, Incarnation, NodeId, RequestKey
 from briarpond.journal import KeyClaim, Settled
 from briarpond.platform import (
     GENERATION_HEADER,
@@ -33,10 +33,9 @@
     ReplyRefusal,
     RequestKind,
     RequestMachine,
-    Target,
 )
-from briarpond.routing import Hint
 
+from ._attempts import Attempts
 from ._fleet_link import FleetLink
 from ._http_client import Exchange, Headers, HttpCall
 from ._inbound import Reply
@@ -72,7 +71,7 @@
         machine: RequestMachine,
         submission: Submission,
         reply: Reply,
-        hint: Hint,
+        attempts: Attempts,
         ask_key: AskKey,
         on_done: Callable[["Runner"], None],
     ) -> None:
@@ -83,15 +82,12 @@
         self._fleet = fleet
         self._submission = submission
         self._reply = reply
-        self._hint = hint
+        self._attempts = attempts
         self._ask_key = ask_key
         self._on_done = on_done
         self._owns_key = False
         self._exchange: Exchange | None = None
         self._paused = False
-        self._instance: InstanceId | None = None
-        self._begun_at = 0.0
-        self._heard = False
         self._head: ReplyHead | None = None
         self._kept = b""
 
@@ -237,8 +233,7 @@
         attempt = effect.attempt
         kind = "first" if self.machine.attempts == 1 else "retry"
         node.metrics.attempts.inc({"kind": kind})
-        self._begin_work(effect.target)
-        self._heard = False
+        self._attempts.begin(effect.target, self._now())
         submission = self._submission
         call = HttpCall(
             address,
@@ -274,10 +269,8 @@
 
     def _got_body(self, attempt: AttemptId, data: bytes) -> None:
         now = self._now()
-        if not self._heard and self._instance is not None:
-            self._heard = True
-            if self.machine.plan.kind is not RequestKind.MODEL_WHOLE:
-                self._node.router.first_byte(self._instance, now - self._begun_at, now)
+        if self.machine.plan.kind is not RequestKind.MODEL_WHOLE:
+            self._attempts.first_byte(now)
         self.run(self.machine.on_body(attempt, data, now))
 
     def _ended(self, attempt: AttemptId) -> None:
@@ -291,19 +284,12 @@
     def _on_caller_gone(self) -> None:
         self.run(self.machine.on_caller_gone(self._now()))
 
-    def _begin_work(self, target: Target) -> None:
-        self._instance = target.instance
-        self._begun_at = self._now()
-        self._node.router.begin(target.instance, self._hint, self._begun_at)
-
     def _end_exchange(self, cancel: bool) -> None:
         if cancel and self._exchange is not None:
             self._exchange.cancel()
         self._exchange = None
         self._paused = False
-        if self._instance is not None:
-            self._node.router.end(self._instance, self._now())
-            self._instance = None
+        self._attempts.end(self._now())
 
     def _on_reply_head(self, effect: ReplyHead) -> None:
         self._head = effect
@@ -349,8 +335,8 @@
             return
         self.tokens_used = usage.completion_tokens
         details = usage.prompt_tokens_details
-        if details is not None and details.cached_tokens == 0 and self.machine.target is not None:
-            self._node.router.missed(self.machine.target.instance, self._hint)
+        if details is not None and details.cached_tokens == 0:
+            self._attempts.missed()
 
     def _remember_answer(self, head: ReplyHead) -> None:
         key = self.machine.plan.key
--- a/briarpond/peers/_digest.py
+++ b/briarpond/peers/_digest.py
@@ -57,8 +57,9 @@
         view.generation,
         age_ms(view.present_at, now),
         age_ms(view.absent_at, now),
-        int(view.load.running + view.load.queued),
+        view.load.running,
         age_ms(view.load_at, now),
+        view.load.queued,
     )
 
 
@@ -92,7 +93,7 @@
             Position(digest.generation),
             _time(digest.present_age_ms, asked_at),
             _time(digest.absent_age_ms, now),
-            EngineLoad(running=max(0, digest.load)),
+            EngineLoad(max(0, digest.running), max(0, digest.queued)),
             load_at,
         )
         known[group] = _newer(known.get(group), view)
--- a/briarpond/peers/_models.py
+++ b/briarpond/peers/_models.py
@@ -14,8 +14,9 @@
     generation: int
     present_age_ms: int
     absent_age_ms: int
-    load: int
+    running: int
     load_age_ms: int
+    queued: int
 
 
 class NodeDigest(msgspec.Struct, frozen=True):
--- a/briarpond/peers/gen/messages/ttypes.py
+++ b/briarpond/peers/gen/messages/ttypes.py
@@ -24,18 +24,20 @@
      - generation
      - present_age_ms
      - absent_age_ms
-     - load
+     - running
      - load_age_ms
+     - queued
 
     """
 
 
-    def __init__(self, generation=None, present_age_ms=None, absent_age_ms=None, load=None, load_age_ms=None,):
+    def __init__(self, generation=None, present_age_ms=None, absent_age_ms=None, running=None, load_age_ms=None, queued=None,):
         self.generation = generation
         self.present_age_ms = present_age_ms
         self.absent_age_ms = absent_age_ms
-        self.load = load
+        self.running = running
         self.load_age_ms = load_age_ms
+        self.queued = queued
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -63,7 +65,7 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.I32:
-                    self.load = iprot.readI32()
+                    self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -71,6 +73,11 @@
                     self.load_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.queued = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -93,14 +100,18 @@
             oprot.writeFieldBegin('absent_age_ms', TType.I32, 3)
             oprot.writeI32(self.absent_age_ms)
             oprot.writeFieldEnd()
-        if self.load is not None:
-            oprot.writeFieldBegin('load', TType.I32, 4)
-            oprot.writeI32(self.load)
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 4)
+            oprot.writeI32(self.running)
             oprot.writeFieldEnd()
         if self.load_age_ms is not None:
             oprot.writeFieldBegin('load_age_ms', TType.I32, 5)
             oprot.writeI32(self.load_age_ms)
             oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.I32, 6)
+            oprot.writeI32(self.queued)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -111,10 +122,12 @@
             raise TProtocolException(message='Required field present_age_ms is unset!')
         if self.absent_age_ms is None:
             raise TProtocolException(message='Required field absent_age_ms is unset!')
-        if self.load is None:
-            raise TProtocolException(message='Required field load is unset!')
+        if self.running is None:
+            raise TProtocolException(message='Required field running is unset!')
         if self.load_age_ms is None:
             raise TProtocolException(message='Required field load_age_ms is unset!')
+        if self.queued is None:
+            raise TProtocolException(message='Required field queued is unset!')
         return
 
     def __repr__(self):
@@ -1086,8 +1099,9 @@
     (1, TType.I64, 'generation', None, None, ),  # 1
     (2, TType.I32, 'present_age_ms', None, None, ),  # 2
     (3, TType.I32, 'absent_age_ms', None, None, ),  # 3
-    (4, TType.I32, 'load', None, None, ),  # 4
+    (4, TType.I32, 'running', None, None, ),  # 4
     (5, TType.I32, 'load_age_ms', None, None, ),  # 5
+    (6, TType.I32, 'queued', None, None, ),  # 6
 )
 all_structs.append(NodeDigest)
 NodeDigest.thrift_spec = (
--- a/briarpond/peers/messages.thrift
+++ b/briarpond/peers/messages.thrift
@@ -11,8 +11,9 @@
   1: required i64 generation,
   2: required i32 present_age_ms,
   3: required i32 absent_age_ms,
-  4: required i32 load,
-  5: required i32 load_age_ms
+  4: required i32 running,
+  5: required i32 load_age_ms,
+  6: required i32 queued
 }
 
 /** Last sign of life of a node. */
--- a/briarpond/platform/_models.py
+++ b/briarpond/platform/_models.py
@@ -54,8 +54,10 @@
 
     Attributes
     ----------
-    running, queued : int
-        Requests.
+    running : int
+        Requests that are being answered.
+    queued : int
+        Requests that wait for their first token.
     cache_used : float
         Part of the prefix cache in use, 0 to 1.
     """
--- a/briarpond/routing/__init__.py
+++ b/briarpond/routing/__init__.py
@@ -1,23 +1,35 @@
 """Choice of the group or server for each attempt."""
 
-from ._choice import Policy, choose_cheapest, choose_least_reported, choose_random, choose_two
+from ._choice import (
+    Choice,
+    Policy,
+    Question,
+    choose_least_reported,
+    choose_quickest,
+    choose_random,
+    choose_two,
+)
 from ._models import Candidate, Hint
-from ._prefix import PrefixBeliefs, prefix_of
-from ._router import Router
+from ._prefix import PrefixBeliefs, hint_of
+from ._router import Dispatched, Router
 from ._speed import SpeedTable
-from ._work import OwnWork
+from ._work import Load, OwnWork
 
 __all__ = [
     "Candidate",
+    "Choice",
+    "Dispatched",
     "Hint",
+    "Load",
     "OwnWork",
     "Policy",
     "PrefixBeliefs",
+    "Question",
     "Router",
     "SpeedTable",
-    "choose_cheapest",
     "choose_least_reported",
+    "choose_quickest",
     "choose_random",
     "choose_two",
-    "prefix_of",
+    "hint_of",
 ]
--- a/briarpond/routing/_choice.py
+++ b/briarpond/routing/_choice.py
@@ -1,78 +1,99 @@
 """Policies that choose one of several candidates.
 
 Every policy is a plain function of candidates, what this node knows and a
-seeded generator; the daemon uses `choose_cheapest`, benchmarks compare it with
+seeded generator; the daemon uses `choose_quickest`, benchmarks compare it with
 the others.
 """
 
 from collections.abc import Callable, Sequence
 from random import Random
 
+import msgspec
 import xxhash
 
+from ._knowledge import Knowledge
 from ._models import Candidate, Hint
-from ._prefix import PrefixBeliefs
-from ._speed import SpeedTable
-from ._work import OwnWork
 
 HOMES = 2
-RANDOM_PICKS = 2
-CACHED_IF_SENT = 0.9
-CACHED_IF_HOME = 0.6
+RANDOM_PICKS = 3
 
 
-class Knowledge:
-    """What one node knows when it chooses."""
+class Question(msgspec.Struct, frozen=True):
+    """What is asked of a policy.
+
+    Attributes
+    ----------
+    slots : int
+        Requests at one instance beyond which others wait there.
+    """
+
+    candidates: Sequence[Candidate]
+    hint: Hint
+    slots: int
+    now: float
 
-    def __init__(self) -> None:
-        self.own = OwnWork()
-        self.speeds = SpeedTable()
-        self.beliefs = PrefixBeliefs()
 
+class Choice(msgspec.Struct, frozen=True):
+    """What a policy chose; `is_home` if it is a home of the prompt's prefix."""
 
-Policy = Callable[[Sequence[Candidate], Knowledge, Hint, float, Random], Candidate]
+    candidate: Candidate
+    is_home: bool = False
 
 
-def choose_random(candidates, knowledge, hint, now, rng) -> Candidate:
+Policy = Callable[[Question, Knowledge, Random], Choice]
+
+
+def choose_random(question: Question, knowledge: Knowledge, rng: Random) -> Choice:
     """Return any candidate."""
-    return rng.choice(candidates)
+    return Choice(rng.choice(question.candidates))
 
 
-def choose_least_reported(candidates, knowledge, hint, now, rng) -> Candidate:
+def choose_least_reported(question: Question, knowledge: Knowledge, rng: Random) -> Choice:
     """Return the candidate with the least reported load."""
-    lowest = min(each.reported for each in candidates)
-    return rng.choice([each for each in candidates if each.reported == lowest])
+    lowest = min(_reported(each) for each in question.candidates)
+    return Choice(rng.choice([each for each in question.candidates if _reported(each) == lowest]))
 
 
-def choose_two(candidates, knowledge, hint, now, rng) -> Candidate:
+def choose_two(question: Question, knowledge: Knowledge, rng: Random) -> Choice:
     """Return the less loaded, by report, of two random candidates."""
-    pair = rng.sample(candidates, min(2, len(candidates)))
-    return min(pair, key=lambda each: each.reported)
+    candidates = question.candidates
+    return Choice(min(rng.sample(candidates, min(2, len(candidates))), key=_reported))
 
 
-def choose_cheapest(candidates, knowledge, hint, now, rng) -> Candidate:
-    """Return the cheapest of a few candidates.
+def choose_quickest(question: Question, knowledge: Knowledge, rng: Random) -> Choice:
+    """Return the candidate with the earliest expected first byte, of a few.
 
     Looked at are the homes of the prompt's prefix, which all nodes compute
     alike without a message, the instances believed to hold it, and some random
     ones. A few instead of all: nodes that see the same report then do not all
     run to the same instance.
     """
-    few = _few(candidates, knowledge, hint, now, rng)
-    homes = few[:HOMES] if hint.prefix is not None else []
-    return min(few, key=lambda each: _cost_s(each, each in homes, knowledge, hint, now))
+    hint = question.hint
+    homes = _homes(question.candidates, hint.prefix) if hint.prefix is not None else []
+    few = homes + _holders(question, knowledge)
+    few += rng.sample(question.candidates, min(RANDOM_PICKS, len(question.candidates)))
+
+    def wait_s(each: Candidate) -> float:
+        is_home = any(each is home for home in homes)
+        return knowledge.expect(each, hint, is_home, question.slots, question.now).wait_s
 
+    best = min(few, key=wait_s)
+    return Choice(best, any(best is home for home in homes))
 
-def _few(candidates, knowledge, hint: Hint, now: float, rng: Random) -> list[Candidate]:
-    few: list[Candidate] = []
-    if hint.prefix is not None:
-        few += _homes(candidates, hint.prefix)
-        few += [
-            each
-            for each in candidates
-            if knowledge.beliefs.holds(each.target.instance, hint.prefix, now)
-        ]
-    return few + rng.sample(candidates, min(RANDOM_PICKS, len(candidates)))
+
+def _reported(candidate: Candidate) -> float:
+    return candidate.queued + candidate.running
+
+
+def _holders(question: Question, knowledge: Knowledge) -> list[Candidate]:
+    prefix = question.hint.prefix
+    if prefix is None:
+        return []
+    return [
+        each
+        for each in question.candidates
+        if knowledge.beliefs.holds(each.target.instance, prefix, question.now)
+    ]
 
 
 def _homes(candidates: Sequence[Candidate], prefix: str) -> list[Candidate]:
@@ -80,17 +101,3 @@
         return xxhash.xxh3_64_intdigest(f"{prefix}|{each.target.instance}".encode())
 
     return sorted(candidates, key=score)[:HOMES]
-
-
-def _cost_s(
-    candidate: Candidate, is_home: bool, knowledge: Knowledge, hint: Hint, now: float
-) -> float:
-    instance = candidate.target.instance
-    load = knowledge.own.estimate(instance, candidate.reported, candidate.reported_at)
-    cost_s = (1.0 + load) * knowledge.speeds.request_s(instance, now) + candidate.distance_s
-    if hint.prefix is None:
-        return cost_s
-    cached = CACHED_IF_HOME if is_home else 0.0
-    if knowledge.beliefs.holds(instance, hint.prefix, now):
-        cached = CACHED_IF_SENT
-    return cost_s + (1.0 - cached) * hint.prefix_s
--- a/briarpond/routing/_models.py
+++ b/briarpond/routing/_models.py
@@ -12,8 +12,10 @@
     ----------
     target : Target
         Where the attempt would go.
-    reported : float
-        Requests running and queued there, by its last report.
+    queued : float
+        Requests there that wait for their first byte, by its last report.
+    running : float
+        Requests there that are being answered, by its last report.
     reported_at : float
         Monotonic time to which the report refers.
     distance_s : float
@@ -21,7 +23,8 @@
     """
 
     target: Target
-    reported: float
+    queued: float
+    running: float
     reported_at: float
     distance_s: float = 0.0
 
@@ -34,8 +37,11 @@
     prefix : str or None
         Digest of the part of the prompt that other requests are likely to share.
     prefix_s : float
-        Time that a prefill of that part takes, seconds.
+        Time that an engine takes to compute that part, seconds.
+    rest_s : float
+        Time for the rest of the prompt, seconds.
     """
 
     prefix: str | None = None
     prefix_s: float = 0.0
+    rest_s: float = 0.0
--- a/briarpond/routing/_prefix.py
+++ b/briarpond/routing/_prefix.py
@@ -11,6 +11,8 @@
 
 from briarpond.ids import InstanceId
 
+from ._models import Hint
+
 BELIEF_S = 120.0
 PREFIXES_PER_INSTANCE = 64
 SHARED_PREFIX_BYTES = 512
@@ -39,17 +41,26 @@
         at = self._sent[instance].get(prefix) if instance in self._sent else None
         return at is not None and now - at <= BELIEF_S
 
+    def forget(self, known: set[InstanceId]) -> None:
+        """Drop instances that are not in `known`."""
+        for name in [name for name in self._sent if name not in known]:
+            del self._sent[name]
+
 
-def prefix_of(model: str, texts: list[str]) -> str | None:
-    """Return the digest of the part of a prompt that is likely to be shared.
+def hint_of(model: str, texts: list[str], prefill_s_per_kb: float) -> Hint:
+    """Return what a prompt tells about its cost.
 
-    With several messages that is all but the last; else the first
-    `SHARED_PREFIX_BYTES` bytes of a longer text. None if there is no such part.
+    The part that is likely to be shared is all but the last of several
+    messages, else the first `SHARED_PREFIX_BYTES` bytes of a longer text.
     """
+    size_kb = sum(map(len, texts)) / 1024
     if len(texts) > 1:
         shared = "\0".join(texts[:-1])
     elif texts and len(texts[0]) > SHARED_PREFIX_BYTES:
         shared = texts[0][:SHARED_PREFIX_BYTES]
     else:
-        return None
-    return xxhash.xxh3_64_hexdigest(f"{model}\0{shared}".encode())
+        return Hint(rest_s=size_kb * prefill_s_per_kb)
+    digest = xxhash.xxh3_64_hexdigest(f"{model}\0{shared}".encode())
+    shared_kb = len(shared) / 1024
+    rest_kb = max(0.0, size_kb - shared_kb)
+    return Hint(digest, shared_kb * prefill_s_per_kb, rest_kb * prefill_s_per_kb)
--- a/tests/standins/engines.py
+++ b/tests/standins/engines.py
@@ -82,7 +82,7 @@
         self.pace_s = settings.pace_s
         self.up = True
         self.held: list = []
-        self._loads: deque[tuple[float, int]] = deque([(0.0, 0)])
+        self._loads: deque[tuple[float, EngineLoad]] = deque([(0.0, EngineLoad())])
         self._boot()
         fleet.by_address[row.address] = self
 
@@ -91,6 +91,7 @@
         self.order: LoadOrder | None = None
         self.state = EngineState.IDLE
         self.in_flight = 0
+        self.queued = 0
         self.boot = object()
 
     def change(self, change) -> None:
@@ -136,18 +137,21 @@
             order.group if order else None,
             order.spec if order else None,
             self.in_flight,
-            EngineLoad(running=self._lagging_load()),
+            self._lagging_load(),
         )
 
-    def _lagging_load(self) -> int:
+    def _lagging_load(self) -> EngineLoad:
         visible = self.clock.now() - self.settings.load_lag_s
         while len(self._loads) > 1 and self._loads[1][0] <= visible:
             self._loads.popleft()
         return self._loads[0][1]
 
-    def _count(self, step: int) -> None:
-        self.in_flight += step
-        self._loads.append((self.clock.now(), self.in_flight))
+    def count(self, in_flight: int, queued: int) -> None:
+        """Count a request in or out, or one that gives its first token."""
+        self.in_flight += in_flight
+        self.queued += queued
+        load = EngineLoad(self.in_flight - self.queued, self.queued)
+        self._loads.append((self.clock.now(), load))
 
     def _take_order(self, request, reply) -> None:
         order = msgspec.json.decode(request.body.read(), type=LoadOrder)
@@ -221,8 +225,13 @@
     def start(self, chat: bool) -> None:
         """Begin after the prefill."""
         self.chat = chat
-        self.engine._count(1)
-        self.engine.clock.after(self.engine.settings.prefill_s, self._step)
+        self.engine.count(1, 1)
+        self.engine.clock.after(self.engine.settings.prefill_s, self._prefilled)
+
+    def _prefilled(self) -> None:
+        if self.engine.boot is self.boot:
+            self.engine.count(0, -1)
+        self._step()
 
     def _step(self) -> None:
         engine = self.engine
@@ -296,4 +305,4 @@
 
     def _finish(self) -> None:
         if self.engine.boot is self.boot:
-            self.engine._count(-1)
+            self.engine.count(-1, 0)
