Bounds on callers, tested in real processes; requests framed one at a time

Cause: the listener's bounds had no test.

Change: writes to closed sockets are dropped; each request is cut from the stream by its Content-Length and refused before its body when it is too large or chunked (411); the hook is back. A fault "callers leave" joins the matrix, and every cell now requires idle engines at its end.

Ruled out: the poller reports the caller's reset (the disconnect event came); the request had no one to tell.

--- a/briarpond/daemon/_inbound.py
+++ b/briarpond/daemon/_inbound.py
@@ -13,6 +13,7 @@
 from briarpond.conf import Address, LimitSettings
 
 from ._clock import Clock
+from ._framing import RequestFrame
 
 SWEEP_S = 1.0
 READ_BYTES = 64 * 1024
@@ -114,17 +115,23 @@
 RequestHandler = Callable[[Request, Reply], None]
 
 
+class _Passed(read):
+    """Bytes of one request, cut and bounded."""
+
+    name = "read"
+
+
 class _Meter:
     """What one connection is doing.
 
-    `arrived` counts the bytes of the request that is being read; `held` keeps
-    bytes of the next request while an answer is under way.
+    `frame` follows the request that is being read; `held` keeps bytes of the
+    next one while an answer is under way.
     """
 
-    __slots__ = ("arrived", "since", "reply", "held")
+    __slots__ = ("frame", "since", "reply", "held")
 
-    def __init__(self, now: float) -> None:
-        self.arrived = 0
+    def __init__(self, now: float, frame: RequestFrame) -> None:
+        self.frame = frame
         self.since = now
         self.reply: Reply | None = None
         self.held = b""
@@ -177,6 +184,7 @@
         if meter is None:
             return
         meter.reply = None
+        meter.frame = self._frame()
         meter.since = self._clock.now()
         held, meter.held = meter.held, b""
         if closing:
@@ -202,7 +210,7 @@
         if len(self._meters) >= self._limits.connections:
             self._refuse(sock, _BUSY)
             return
-        self._meters[sock] = _Meter(self._clock.now())
+        self._meters[sock] = _Meter(self._clock.now(), self._frame())
 
     @handler("disconnect")
     def _on_gone(self, sock: socket.socket) -> None:
@@ -213,35 +221,51 @@
 
     @handler("read", priority=1)
     def _on_bytes(self, event, sock: socket.socket, data: bytes) -> None:
+        # What the library may parse is passed on below, one request at a time.
+        if isinstance(event, _Passed):
+            return
+        event.stop()
         meter = self._meters.get(sock)
         if meter is None:
-            event.stop()
             return
         if meter.reply is not None:
-            event.stop()
-            meter.held += data
-            if len(meter.held) > self._limits.header_bytes:
-                self.drop(sock)
+            self._hold(sock, meter, data)
             return
-        if meter.arrived == 0:
+        if not meter.frame.begun:
             meter.since = self._clock.now()
-        meter.arrived += len(data)
-        status = self._over_limit(sock, meter)
-        if status is not None:
-            event.stop()
-            self._refuse(sock, _error_bytes(status))
+        cut = meter.frame.feed(data)
+        if cut.problem is not None:
+            self._refuse(sock, _error_bytes(cut.problem))
+            return
+        meter.held = cut.rest
+        if cut.passed:
+            self.fire(_Passed(sock, cut.passed))
+
+    def _hold(self, sock: socket.socket, meter: _Meter, data: bytes) -> None:
+        """Keep bytes of a later request; a caller that sends too many is cut off."""
+        meter.held += data
+        if len(meter.held) > self._limits.header_bytes + self._limits.request_bytes:
+            self.drop(sock)
+
+    def _frame(self) -> RequestFrame:
+        return RequestFrame(self._limits.header_bytes, self._limits.request_bytes)
 
     @handler("request", priority=1)
     def _on_request(self, event, request: Request, response: Response) -> bool:
         meter = self._meters.get(request.sock)
         if meter is None:
             return True
-        meter.arrived = 0
         reply = Reply(self, request, response)
         meter.reply = reply
         self._handle(request, reply)
         return True
 
+    @handler("write", priority=1)
+    def _on_write(self, event, sock: socket.socket, data: bytes) -> None:
+        # circuits' server would hand a closed socket to the poller, which raises.
+        if sock.fileno() < 0:
+            event.stop()
+
     @handler("_write")
     def _on_written(self, sock: socket.socket) -> None:
         meter = self._meters.get(sock)
@@ -250,17 +274,6 @@
         if not self.server._buffers.get(sock):
             meter.reply.on_drained()
 
-    def _over_limit(self, sock: socket.socket, meter: _Meter) -> HTTPStatus | None:
-        limits = self._limits
-        if meter.arrived > limits.header_bytes + limits.request_bytes:
-            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        parser = self.http._buffers.get(sock)
-        if parser is None or parser.is_headers_complete():
-            return None
-        if meter.arrived > limits.header_bytes + READ_BYTES:
-            return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        return None
-
     def _refuse(self, sock: socket.socket, answer: bytes) -> None:
         with contextlib.suppress(OSError):
             sock.send(answer)
@@ -271,9 +284,9 @@
         for sock, meter in list(self._meters.items()):
             if meter.reply is not None:
                 continue
-            if meter.arrived and now - meter.since > self._limits.request_read_s:
+            if meter.frame.begun and now - meter.since > self._limits.request_read_s:
                 self._refuse(sock, _error_bytes(HTTPStatus.REQUEST_TIMEOUT))
-            elif not meter.arrived and now - meter.since > self._limits.idle_s:
+            elif not meter.frame.begun and now - meter.since > self._limits.idle_s:
                 self.drop(sock)
 
 
--- a/briarpond/daemon/_peer_net.py
+++ b/briarpond/daemon/_peer_net.py
@@ -141,7 +141,7 @@
                 self._refuse(sock, decoded.error.code.value)
                 return
             answer = self._answer(decoded.ok)
-            if answer is not None:
+            if answer is not None and sock.fileno() >= 0:
                 self.server.write(sock, encode_frame(answer, self._secret))
 
     def _refuse(self, sock: socket.socket, code: str) -> None:
--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -90,6 +90,8 @@
         self._paused = False
         self._head: ReplyHead | None = None
         self._kept = b""
+        reply.on_gone = self._on_caller_gone
+        reply.on_drained = self._on_drained
 
     def start(self) -> None:
         """Begin, unless the request has ended while it waited."""
--- a/tests/matrix/checker.py
+++ b/tests/matrix/checker.py
@@ -155,7 +155,9 @@
 def unanswered(history: list[Event], excused: set[tuple[str, int]]) -> list[str]:
     """Return requests that never got any word, but for processes that died."""
     told = {
-        (event.fields["request"], event.fields["node"]) for event in history if event.kind == "told"
+        (event.fields["request"], event.fields["node"])
+        for event in history
+        if event.kind in ("told", "left")
     }
     return [
         f"{event.fields['request']} at {event.fields['node']} got no word"
--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -136,6 +136,10 @@
     world.list.mark_leaving(_head(world).name, SHORT_S)
 
 
+def callers_leave(world, losses):
+    world.load.leave()
+
+
 FAULTS = (
     member_dies,
     head_dies,
@@ -158,4 +162,5 @@
     node_crashes,
     operators_race,
     instance_leaves,
+    callers_leave,
 )
--- a/tests/matrix/scenario.py
+++ b/tests/matrix/scenario.py
@@ -68,6 +68,16 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.count = 0
+        self.open: list[FakeReply] = []
+        world.load = self
+
+    def leave(self) -> None:
+        """Let every caller with a request in flight leave."""
+        for reply in self.open:
+            if not reply.ended:
+                reply.ended = True
+                self.world.note("left", request=reply.request, node=reply.node)
+                reply.on_gone()
 
     def tick(self) -> None:
         """Send one request and schedule the next."""
--- a/tests/matrix/test_matrix.py
+++ b/tests/matrix/test_matrix.py
@@ -100,6 +100,8 @@
     }
     assert {len(view["ready"]) for view in views.values()} == {GROUPS_WANTED}
     assert len({view["version"] for view in views.values()}) == 1
+    busy = [engine.name for engine in world.engines.values() if engine.up and engine.in_flight]
+    assert busy == [], "work goes on for callers that have their answer or have left"
 
 
 @pytest.mark.parametrize(("strikes", "seed"), list(_cells()))
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -564,8 +564,12 @@
     on_gone: object = None
     on_drained: object = None
     on_ended: object = None
+    request: str = ""
+    node: str = ""
 
     def whole(self, status, headers, body) -> None:
+        if self.ended:
+            return
         self.status, self.headers, self.data = status, dict(headers), body
         self.end()
 
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -144,6 +144,7 @@
     timing: dict = field(default_factory=dict)
     stop: dict = field(default_factory=lambda: {"entry_ttl_s": 1.0, "limit_s": 30.0})
     engine_args: dict = field(default_factory=dict)
+    limits: dict = field(default_factory=dict)
     retention: int = 100_000
     nodes: dict[str, NodeProcess] = field(default_factory=dict)
     processes: list[subprocess.Popen] = field(default_factory=list)
@@ -300,6 +301,7 @@
             },
             "peers": {"secret": PEER_SECRET},
             "operators": [{"name": "ada", "key_sha256": sha256(OPERATOR_KEY)}],
+            "limits": self.limits,
             "timing": self.timing,
             "stop": self.stop,
         }
