Tests that mirror the packages; roll-out waits for every group wanted

Change: a roll-out step needs all groups wanted to be there and ready, or nothing to have changed for 30 s (instances short for good).

--- a/briarpond/groups/_planner.py
+++ b/briarpond/groups/_planner.py
@@ -40,6 +40,7 @@
 SUSPECT_S = 2.0
 MAX_WAIT_FOR_RETURN_S = 20.0
 RETIRE_LIMIT_S = 120.0
+PATIENCE_S = 30.0
 
 Proposal = GroupForm | GroupRetire | GroupDissolve
 
@@ -101,6 +102,7 @@
         self._retired_since: dict[tuple[GroupId, Position], float] = {}
         self._released_at: dict[InstanceId, float] = {}
         self._held_before: set[InstanceId] | None = None
+        self._pictures: dict[DeploymentId, tuple[frozenset, float]] = {}
 
     def plan(self, given: PlannerInput, now: float) -> list[Proposal]:
         """Return the records to submit now."""
@@ -111,7 +113,9 @@
         self._forget_ended(groups)
         free = _FreePool(given, self._settled(given, now), now)
         rollouts = {
-            deployment_id: plan_rollout(given, deployment_id, free)
+            deployment_id: plan_rollout(
+                given, deployment_id, free, self._unchanged_s(given, deployment_id, now)
+            )
             for deployment_id in {group.deployment for group in groups}
         }
         retire = {name for rollout in rollouts.values() for name in rollout.retire}
@@ -125,6 +129,18 @@
         surge = Counter({name: rollout.surge for name, rollout in rollouts.items()})
         return proposals + _fill(given, kept, surge, free)
 
+    def _unchanged_s(self, given: PlannerInput, deployment_id: DeploymentId, now: float) -> float:
+        """Return for how long no group of a deployment has come, gone or changed."""
+        picture = frozenset(
+            (group.id, group.generation, group.phase, given.ready(group))
+            for group in _groups_of(given, deployment_id)
+        )
+        known = self._pictures.get(deployment_id)
+        if known is None or known[0] != picture:
+            self._pictures[deployment_id] = (picture, now)
+            return 0.0
+        return now - known[1]
+
     def _review(
         self, given: PlannerInput, group: Group, retire: bool, free: "_FreePool", now: float
     ) -> tuple[list[Proposal], bool]:
@@ -264,18 +280,19 @@
     surge: int = 0
 
 
-def plan_rollout(given: PlannerInput, deployment_id: DeploymentId, free: _FreePool) -> Rollout:
+def plan_rollout(
+    given: PlannerInput, deployment_id: DeploymentId, free: _FreePool, unchanged_s: float
+) -> Rollout:
     """Replace outdated groups one at a time over all data centres.
 
     The next group is the same on every node: the first by data centre and name.
-    It goes only while every other group of the deployment is ready, and where
-    there is room, its replacement is formed and ready first.
+    It goes only while all groups wanted are there and ready, and where there is
+    room, its replacement is formed and ready first. Where instances are short
+    for good, nothing changes for `PATIENCE_S` seconds, and the roll-out goes on.
     """
     deployment = given.state.config.document.deployments.get(deployment_id)
     formed = [
-        group
-        for group in given.state.groups.values()
-        if group.deployment == deployment_id and group.phase is GroupPhase.FORMED
+        group for group in _groups_of(given, deployment_id) if group.phase is GroupPhase.FORMED
     ]
     here = [group for group in formed if group.data_centre == given.data_centre]
     if deployment is None:
@@ -287,7 +304,8 @@
     following = _next_outdated(given, formed, outdated)
     if following is None or following.data_centre != given.data_centre:
         return Rollout()
-    if not _steady(given, deployment_id, following, outdated):
+    steady = _steady(given, deployment_id, following, outdated)
+    if not steady and unchanged_s < PATIENCE_S:
         return Rollout()
     room = max(free.domains(deployment.service).values(), default=0)
     if room >= deployment.group_size:
@@ -323,14 +341,22 @@
 def _steady(
     given: PlannerInput, deployment_id: DeploymentId, following: Group, outdated: set[GroupId]
 ) -> bool:
-    """Whether no other group of the deployment is on its way in or out."""
+    """Whether all groups wanted are there, and none is on its way in or out."""
+    wanted = given.state.config.document.deployments[deployment_id].groups
+    groups = _groups_of(given, deployment_id)
+    if len(groups) < sum(wanted.get(each, 0) for each in given.planned):
+        return False
     return all(
         group.phase is GroupPhase.FORMED and (group.id in outdated or given.ready(group))
-        for group in given.state.groups.values()
-        if group.deployment == deployment_id and group.id != following.id
+        for group in groups
+        if group.id != following.id
     )
 
 
+def _groups_of(given: PlannerInput, deployment_id: DeploymentId) -> list[Group]:
+    return [group for group in given.state.groups.values() if group.deployment == deployment_id]
+
+
 def _up_to_date(group: Group, deployment: DeploymentConfig) -> bool:
     return group.spec == _spec_of(deployment) and len(group.members) == deployment.group_size
 
--- /dev/null
+++ b/tests/nodes/test_drain.py
@@ -0,0 +1,68 @@
+"""Draining, and the addresses that callers are given."""
+
+from briarpond.journal import Node, NodeStage
+from briarpond.nodes import Drain, DrainStage, PeerView, PeerViews, entry_list
+
+
+def _drain():
+    return Drain(spread_s=2.0, entry_ttl_s=5.0, limit_s=60.0)
+
+
+def test_serves_until_what_callers_hold_has_run_out():
+    drain = _drain()
+    drain.begin(100.0)
+    drain.on_known(101.0)
+    assert drain.on_tick(107.9, 0) is DrainStage.LEAVING
+    assert drain.accepts
+    assert drain.on_tick(108.0, 3) is DrainStage.CLOSING
+    assert not drain.accepts
+    assert drain.on_tick(120.0, 1) is DrainStage.CLOSING
+    assert drain.on_tick(121.0, 0) is DrainStage.STOPPED
+    assert not drain.forced
+
+
+def test_log_outage_lengthens_the_wait():
+    drain = _drain()
+    drain.begin(100.0)
+    assert drain.on_tick(108.9, 0) is DrainStage.LEAVING
+    assert drain.on_tick(109.0, 0) is DrainStage.STOPPED
+
+
+def test_second_signal_and_limit_force_the_end():
+    drain = _drain()
+    drain.begin(100.0)
+    drain.begin(101.0)
+    assert drain.on_tick(101.1, 5) is DrainStage.STOPPED
+    assert drain.forced
+    slow = _drain()
+    slow.begin(100.0)
+    assert slow.on_tick(159.9, 5) is DrainStage.CLOSING
+    assert slow.on_tick(160.0, 5) is DrainStage.STOPPED
+
+
+def _node(name, data_centre, stage=NodeStage.LIVE):
+    return Node(name, "x", data_centre, "r", f"{name}:1", "p", stage, 1)
+
+
+def test_entry_list_is_near_first_without_leaving_nodes():
+    nodes = [
+        _node("a", "far"),
+        _node("b", "near"),
+        _node("c", "near", NodeStage.LEAVING),
+        _node("d", "near"),
+    ]
+    got = entry_list(nodes, lambda node: node.id != "d", "near", 5.0, lambda names: None)
+    assert got.addresses == ("b:1", "a:1")
+    assert got.keep_s == 5.0
+
+
+def test_leaving_is_not_unsaid_by_an_older_word():
+    views = PeerViews()
+    views.hear(PeerView("a", "x", 10.0, False))
+    views.hear(PeerView("a", "x", 9.0, True))
+    assert views.get("a") == PeerView("a", "x", 10.0, True)
+    views.hear(PeerView("a", "y", 11.0, False))
+    assert not views.get("a").leaving
+    views.hear(PeerView("a", "x", 10.5, True))
+    assert views.get("a").incarnation == "y"
+    assert views.alive(20.0, 5.0) == set()
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,107 @@
+"""Choice by expected first-byte time: load, prefix, stragglers, herds."""
+
+import random
+from collections import Counter
+
+from briarpond.requests import Target, TargetKind
+from briarpond.routing import Candidate, Hint, OwnWork, PrefixBeliefs, Router, hint_of
+
+SLOTS = 64
+
+
+def _candidate(name, queued=0.0, running=0.0, at=0.0, distance=0.0):
+    target = Target(TargetKind.GROUP, name, "10.0.0.1:1", f"g-{name}", 1)
+    return Candidate(target, queued, running, at, distance)
+
+
+def _pick(router, candidates, hint=None, now=1.0, avoided=frozenset()):
+    choice = router.choose(candidates, hint or Hint(), SLOTS, avoided, now)
+    return choice.candidate.target.instance if choice else None
+
+
+def test_avoided_and_empty():
+    router = Router(random.Random(1))
+    assert _pick(router, [_candidate("a"), _candidate("b")], avoided=frozenset({"a"})) == "b"
+    assert _pick(router, [_candidate("a")], avoided=frozenset({"a"})) is None
+    assert _pick(router, []) is None
+
+
+def test_waiting_requests_weigh_and_distance_breaks_ties():
+    router = Router(random.Random(1))
+    hint = Hint(rest_s=0.2)
+    busy, free = _candidate("busy", queued=30), _candidate("free", running=30)
+    assert {_pick(router, [busy, free], hint) for _ in range(20)} == {"free"}
+    far = _candidate("far", distance=0.05)
+    assert {_pick(router, [far, _candidate("near")], hint) for _ in range(20)} == {"near"}
+
+
+def test_report_is_corrected_by_own_dispatches():
+    own = OwnWork()
+    own.begin("a", 1.0)
+    own.begin("a", 2.0)
+    assert own.estimate("a", 5, 0, reported_at=1.5).queued == 6
+    assert own.estimate("a", 0, 0, reported_at=3.0).queued == 2
+    own.first_byte("a", 4.0)
+    load = own.estimate("a", 0, 0, reported_at=3.0)
+    assert (load.queued, load.running) == (1, 1)
+    own.end("a", answered=True, now=5.0)
+    own.end("a", answered=False, now=5.0)
+    load = own.estimate("a", 0, 0, reported_at=6.0)
+    assert (load.queued, load.running) == (0, 0)
+
+
+def test_nodes_agree_on_the_homes_of_a_prefix():
+    candidates = [_candidate(f"i{n}") for n in range(30)]
+    hint = Hint("prefix", 1.0, 0.01)
+    picks = Counter(_pick(Router(random.Random(seed)), candidates, hint) for seed in range(40))
+    assert len(picks) <= 2
+
+
+def test_overloaded_home_is_left():
+    candidates = [_candidate(f"i{n}") for n in range(30)]
+    hint = Hint("prefix", 0.2, 0.01)
+    router = Router(random.Random(3))
+    homes = {_pick(Router(random.Random(seed)), candidates, hint) for seed in range(40)}
+    loaded = [
+        _candidate(each.target.instance, queued=200) if each.target.instance in homes else each
+        for each in candidates
+    ]
+    assert _pick(router, loaded, hint) not in homes
+
+
+def test_straggler_is_set_aside_and_tried_again():
+    router = Router(random.Random(5))
+    slow, fine = _candidate("slow"), _candidate("fine")
+    hint = Hint(rest_s=0.1)
+    now = 0.0
+    for _ in range(20):
+        for each, waited in ((slow, 1.5), (fine, 0.1)):
+            choice = router.choose([each], hint, SLOTS, frozenset(), now)
+            sent = router.begin(choice, hint, SLOTS, now)
+            router.first_byte(sent, now + waited)
+            router.end(sent, now + waited)
+        now += 2.0
+    queue = [slow, _candidate("fine", queued=2)]
+    assert {_pick(router, queue, hint, now) for _ in range(20)} == {"fine"}
+    assert {_pick(router, queue, hint, now + 300.0) for _ in range(20)} == {"slow"}
+
+
+def test_wrong_belief_heals():
+    beliefs = PrefixBeliefs()
+    beliefs.learn("a", "p", 0.0)
+    assert beliefs.holds("a", "p", 1.0)
+    assert not beliefs.holds("a", "p", 1e6)
+    beliefs.unlearn("a", "p")
+    assert not beliefs.holds("a", "p", 1.0)
+    for number in range(100):
+        beliefs.learn("a", f"p{number}", 2.0)
+    assert not beliefs.holds("a", "p0", 2.0)
+
+
+def test_hint_tells_the_shared_part():
+    assert hint_of("m", ["short"], 0.05).prefix is None
+    system = "Follow the export rules. " * 40
+    first, second = (hint_of("m", [system, text], 0.05) for text in ("crate 1", "crate 2"))
+    assert first.prefix == second.prefix
+    assert first.prefix_s > first.rest_s
+    assert hint_of("other", [system, "crate 1"], 0.05).prefix != first.prefix
