--- a/briarpond/daemon/_node.py
+++ b/briarpond/daemon/_node.py
@@ -128,19 +128,11 @@
         """Return what is known of a group: the newer of own probes and peers' word."""
         own = self._own_view(group, now)
         relayed = self.relayed.get(group.id)
-        if relayed is not None and relayed.generation != group.generation:
-            relayed = None
-        if own is None or relayed is None:
-            return own or relayed
-        newest = max(own, relayed, key=lambda view: view.load_at)
-        return GroupView(
-            group.id,
-            group.generation,
-            max(own.present_at, relayed.present_at),
-            max(own.absent_at, relayed.absent_at),
-            newest.load,
-            newest.load_at,
-        )
+        if own is not None:
+            return own.merged(relayed)
+        if relayed is not None and relayed.generation == group.generation:
+            return relayed
+        return None
 
     def group_ready(self, group: Group, now: float) -> bool:
         """Whether a group may serve."""
@@ -149,10 +141,6 @@
         view = self.group_view(group, now)
         return view is not None and view.usable(now, self.settings.timing.presence_ttl_s)
 
-    def own_view(self, group: Group, now: float) -> GroupView | None:
-        """Return what this node's own probes say of a group."""
-        return self._own_view(group, now)
-
     def _own_view(self, group: Group, now: float) -> GroupView | None:
         rows = [self.presence.get(member.instance) for member in group.members]
         known = [row for row in rows if row is not None]
--- a/briarpond/groups/__init__.py
+++ b/briarpond/groups/__init__.py
@@ -1,8 +1,9 @@
 """Groups of instances that serve one model: presence, readiness, planning, orders."""
 
+from ._inputs import PlannerInput, PlannerPolicy
 from ._models import GroupView, Readiness, ReadinessCode
 from ._orders import due_orders, loading_groups
-from ._planner import Planner, PlannerInput, PlannerPolicy
+from ._planner import Planner
 from ._presence import Presence, PresenceTable
 from ._readiness import confirm_members, group_readiness
 
--- a/briarpond/groups/_models.py
+++ b/briarpond/groups/_models.py
@@ -56,3 +56,17 @@
     def usable(self, now: float, ttl_s: float) -> bool:
         """Whether the group counts as ready at `now`."""
         return self.present_at > self.absent_at and now - self.present_at <= ttl_s
+
+    def merged(self, other: "GroupView | None") -> "GroupView":
+        """Return the newest of two views; a view of another generation counts for nothing."""
+        if other is None or other.generation != self.generation:
+            return self
+        newest = max(self, other, key=lambda view: view.load_at)
+        return GroupView(
+            self.group,
+            self.generation,
+            max(self.present_at, other.present_at),
+            max(self.absent_at, other.absent_at),
+            newest.load,
+            newest.load_at,
+        )
--- a/briarpond/peers/_digest.py
+++ b/briarpond/peers/_digest.py
@@ -96,7 +96,7 @@
             EngineLoad(max(0, digest.running), max(0, digest.queued)),
             load_at,
         )
-        known[group] = _newer(known.get(group), view)
+        known[group] = view.merged(known.get(group))
 
 
 def merge_nodes(digests: Iterable[NodeDigest], asked_at: float) -> list[PeerView]:
@@ -122,17 +122,3 @@
 
 def _time(age: int, reference: float) -> float:
     return NEVER if age < 0 else reference - age / 1000.0
-
-
-def _newer(known: GroupView | None, view: GroupView) -> GroupView:
-    if known is None or known.generation != view.generation:
-        return view
-    newest = max(known, view, key=lambda each: each.load_at)
-    return GroupView(
-        view.group,
-        view.generation,
-        max(known.present_at, view.present_at),
-        max(known.absent_at, view.absent_at),
-        newest.load,
-        newest.load_at,
-    )
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,78 @@
+"""The pages are true: examples run, and the reference names everything there is."""
+
+import re
+from pathlib import Path
+
+import pytest
+from pydantic import BaseModel
+
+from briarpond.conf import Settings
+from briarpond.configuration import Document
+from briarpond.management._cli import command_line
+from briarpond.metrics import Metrics
+from briarpond.requests import RefusalCode
+
+ROOT = Path(__file__).resolve().parents[1]
+DOCS = ROOT / "docs"
+BLOCKS = re.findall(r"```python\n(.*?)```", (DOCS / "topics/embedding.md").read_text(), re.DOTALL)
+
+
+@pytest.mark.parametrize("block", BLOCKS)
+def test_examples_run(block):
+    exec(compile(block, "embedding.md", "exec"), {})
+
+
+def _leaves(model: type[BaseModel]) -> set[str]:
+    names = set()
+    for name, field in model.model_fields.items():
+        kind = field.annotation
+        nested = [
+            each
+            for each in (kind, *getattr(kind, "__args__", ()))
+            if isinstance(each, type) and issubclass(each, BaseModel)
+        ]
+        names |= _leaves(nested[0]) if nested else {name}
+    return names
+
+
+@pytest.mark.parametrize(("model", "page"), [(Settings, "settings"), (Document, "configuration")])
+def test_every_key_is_in_the_reference(model, page):
+    text = (DOCS / f"ref/{page}.md").read_text()
+    assert [name for name in _leaves(model) if not re.search(rf"\b{name}\b", text)] == []
+
+
+def test_every_metric_is_in_the_reference():
+    text = (DOCS / "ref/metrics.md").read_text()
+    names = [collector.name for collector in Metrics().registry.get_all()]
+    assert len(names) > 10
+    assert [name for name in names if f"`{name}`" not in text] == []
+
+
+def test_every_refusal_code_is_in_the_reference():
+    text = (DOCS / "ref/http.md").read_text()
+    assert [code.value for code in RefusalCode if f"`{code.value}`" not in text] == []
+
+
+def test_every_command_is_in_the_reference():
+    text = (DOCS / "ref/commands.md").read_text()
+    names = [name for name in command_line if not name.startswith("-")]
+    assert "patch" in names
+    assert [name for name in names if f"`{name}" not in text] == []
+
+
+def test_every_log_event_is_in_the_reference():
+    text = (DOCS / "ref/log-events.md").read_text()
+    source = "".join(path.read_text() for path in (ROOT / "briarpond/daemon").glob("*.py"))
+    pattern = r"(?:log_event|log_warning|log_fatal_event|report)\(\s*\"([a-z_]+)\""
+    names = set(re.findall(pattern, source))
+    assert "node_start" in names
+    assert [name for name in names if f"`{name}`" not in text] == []
+
+
+def test_links_lead_somewhere():
+    broken = []
+    for page in [*DOCS.rglob("*.md"), ROOT / "README.md"]:
+        for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
+            if not (page.parent / target).exists():
+                broken.append(f"{page.relative_to(ROOT)}: {target}")
+    assert broken == []
