--- a/briarpond/admission/_queue.py
+++ b/briarpond/admission/_queue.py
@@ -28,7 +28,7 @@
     begin : callable
         Called when its turn comes; returns whether there was room for it.
     expire : callable
-        Called when its deadline has passed, or another one takes its place.
+        Called when its deadline has passed.
     """
 
     account: AccountId
@@ -62,39 +62,27 @@
         return sum(self._by_account.values())
 
     def expected_wait_s(self) -> float:
-        """Return how long a request behind all others is likely to wait."""
+        """Return how long a request that joins now is likely to wait."""
         return (len(self) + 1) / self._rate
 
     def push(self, waiting: Waiting, weight: float, cost: float, now: float) -> QueueFull | None:
         """Queue a request, or say why not.
 
-        A request whose deadline would pass while it waits is refused at once;
-        only those that will be served before it count. A full queue gives up
-        its last request for one that comes before it.
+        A request whose deadline would pass while it waits is refused at once.
         """
-        start = max(self._virtual, self._last_tag.get(waiting.account, 0.0))
-        ahead = sum(tag <= start and not each.left for tag, _, each in self._heap)
-        wait_s = (ahead + 1) / self._rate
+        wait_s = self.expected_wait_s()
         if now + wait_s > waiting.deadline:
             return QueueFull("deadline", wait_s)
+        if len(self) >= MAX_WAITING:
+            return QueueFull("queue", wait_s)
         if self._by_account[waiting.account] >= MAX_WAITING * MAX_ACCOUNT_PART:
             return QueueFull("account's part of the queue", wait_s)
-        if len(self) >= MAX_WAITING and not self._give_up_last(start):
-            return QueueFull("queue", wait_s)
+        start = max(self._virtual, self._last_tag.get(waiting.account, 0.0))
         self._last_tag[waiting.account] = start + cost / weight
         self._by_account[waiting.account] += 1
         heapq.heappush(self._heap, (start, next(self._order), waiting))
         return None
 
-    def _give_up_last(self, start: float) -> bool:
-        """Refuse the last request if it stands behind `start`."""
-        last = max((row for row in self._heap if not row[2].left), key=lambda row: row[:2])
-        if last[0] <= start:
-            return False
-        self.leave(last[2])
-        last[2].expire()
-        return True
-
     def serve(self, now: float, most: int) -> int:
         """Begin requests in fair order while there is room; return how many."""
         begun = 0
