--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -426,6 +426,11 @@
             snapshot.at(SERVERS // GROUP_SIZE) / 60e6,
             CORE_PART,
         ),
+        (
+            "relay of claims if 1 in 100 requests has a key, bytes/s",
+            REQUESTS_PER_S / REGIONS / 100 * claim_bytes(),
+            BYTES_PER_S,
+        ),
         (
             "memory: modules and the state of all regions, MB",
             base_mb + memory.at(SERVERS // GROUP_SIZE) / 1024,
