Routing weighs the prefill that a request takes from others

Change: the cost of a candidate is its expected first byte plus twice the request's own prefill there.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -23,8 +23,8 @@
     Choice,
     Hint,
     Router,
+    choose_cheapest,
     choose_least_reported,
-    choose_quickest,
     choose_random,
     choose_two,
 )
@@ -277,8 +277,8 @@
     "two choices": (lambda: choose_two, False),
     "round robin, with queue": (RoundRobin, True),
     "two choices, with queue": (lambda: choose_two, True),
-    "ours, without queue": (lambda: choose_quickest, False),
-    "ours": (lambda: choose_quickest, True),
+    "ours, without queue": (lambda: choose_cheapest, False),
+    "ours": (lambda: choose_cheapest, True),
 }
 
 
@@ -336,7 +336,7 @@
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
-    loads = (0.4, 0.6, 0.8, 1.0, 1.3, 1.7, 2.2, 3.0)
+    loads = (0.4, 0.8, 1.0, 1.7, 2.4, 3.0, 4.0, 5.0, 7.0)
     figure, axes = pyplot.subplots(2, 2, figsize=(11, 8), sharex=True)
     for column, workload in enumerate((DERWENT, LEHTINEN)):
         for name in POLICIES:
@@ -363,6 +363,7 @@
         table(workload, 0.8, False)
         table(workload, 0.8, True)
         table(workload, 3.0, False)
+        table(workload, 5.0, False)
 
 
 if __name__ == "__main__":
--- a/briarpond/routing/__init__.py
+++ b/briarpond/routing/__init__.py
@@ -4,8 +4,8 @@
     Choice,
     Policy,
     Question,
+    choose_cheapest,
     choose_least_reported,
-    choose_quickest,
     choose_random,
     choose_two,
 )
@@ -28,7 +28,7 @@
     "Router",
     "SpeedTable",
     "choose_least_reported",
-    "choose_quickest",
+    "choose_cheapest",
     "choose_random",
     "choose_two",
     "hint_of",
--- a/briarpond/routing/_choice.py
+++ b/briarpond/routing/_choice.py
@@ -1,7 +1,7 @@
 """Policies that choose one of several candidates.
 
 Every policy is a plain function of candidates, what this node knows and a
-seeded generator; the daemon uses `choose_quickest`, benchmarks compare it with
+seeded generator; the daemon uses `choose_cheapest`, benchmarks compare it with
 the others.
 """
 
@@ -16,6 +16,7 @@
 
 HOMES = 2
 RANDOM_PICKS = 3
+OCCUPANCY_WEIGHT = 2.0
 
 
 class Question(msgspec.Struct, frozen=True):
@@ -60,8 +61,13 @@
     return Choice(min(rng.sample(candidates, min(2, len(candidates))), key=_reported))
 
 
-def choose_quickest(question: Question, knowledge: Knowledge, rng: Random) -> Choice:
-    """Return the candidate with the earliest expected first byte, of a few.
+def choose_cheapest(question: Question, knowledge: Knowledge, rng: Random) -> Choice:
+    """Return the candidate with the lowest cost of a few.
+
+    The cost is the expected first-byte time and, weighted, the request's own
+    prefill: a request that leaves the cache of its prefix for a shorter queue
+    takes the engine's time from all who come after, and pushes out what they
+    have cached.
 
     Looked at are the homes of the prompt's prefix, which all nodes compute
     alike without a message, the instances believed to hold it, and some random
@@ -73,11 +79,12 @@
     few = homes + _holders(question, knowledge)
     few += rng.sample(question.candidates, min(RANDOM_PICKS, len(question.candidates)))
 
-    def wait_s(each: Candidate) -> float:
+    def cost_s(each: Candidate) -> float:
         is_home = any(each is home for home in homes)
-        return knowledge.expect(each, hint, is_home, question.slots, question.now).wait_s
+        expected = knowledge.expect(each, hint, is_home, question.slots, question.now)
+        return expected.wait_s + OCCUPANCY_WEIGHT * expected.prefill_s
 
-    best = min(few, key=wait_s)
+    best = min(few, key=cost_s)
     return Choice(best, any(best is home for home in homes))
 
 
--- a/briarpond/routing/_knowledge.py
+++ b/briarpond/routing/_knowledge.py
@@ -23,10 +23,13 @@
         By queue and prompt alone, seconds.
     wait_s : float
         With the measured slowness and the way there, seconds.
+    prefill_s : float
+        The request's own part: what it takes from those who come after it.
     """
 
     plain_s: float
     wait_s: float
+    prefill_s: float
 
 
 class Knowledge:
@@ -54,7 +57,7 @@
         own_s = self._prefill_s(candidate, hint, is_home, now)
         plain_s = load.queued * self._typical_s + own_s + over * SLOT_WAIT_S
         factor = self.speeds.factor(instance, now)
-        return Expectation(plain_s, plain_s * factor + candidate.distance_s)
+        return Expectation(plain_s, plain_s * factor + candidate.distance_s, own_s)
 
     def note_prefill(self, candidate: Candidate, hint: Hint, is_home: bool, now: float) -> None:
         """Learn what a dispatched request typically costs."""
--- a/briarpond/routing/_router.py
+++ b/briarpond/routing/_router.py
@@ -7,7 +7,7 @@
 
 from briarpond.ids import InstanceId
 
-from ._choice import Choice, Policy, Question, choose_quickest
+from ._choice import Choice, Policy, Question, choose_cheapest
 from ._knowledge import Knowledge
 from ._models import Candidate, Hint
 
@@ -27,7 +27,7 @@
 class Router:
     """Chooses candidates and learns from what became of the attempts."""
 
-    def __init__(self, rng: Random, policy: Policy = choose_quickest) -> None:
+    def __init__(self, rng: Random, policy: Policy = choose_cheapest) -> None:
         self._rng = rng
         self._policy = policy
         self._knowledge = Knowledge()
