The matrix's scenario dissolves a group again; tests of planned stops

Refusals stood in the runner's module.

Change: the scenario lowers and raises the number of groups wanted, so retiring ends in a dissolve; the requirement that each step comes stays. Tests in real processes for two stops in turn, a second signal, and a boot without the log. Refusals have a module of their own.

--- a/briarpond/daemon/_callers.py
+++ b/briarpond/daemon/_callers.py
@@ -27,17 +27,8 @@
 from ._inbound import Reply
 from ._node import NodeContext
 from ._pool import Pool
-from ._runner import (
-    NODE_HEADER,
-    OUTCOME_HEADER,
-    AskKey,
-    ErrorBody,
-    ErrorDetail,
-    Runner,
-    Submission,
-    kind_of,
-    refuse,
-)
+from ._refusals import NODE_HEADER, OUTCOME_HEADER, ErrorBody, ErrorDetail, refuse
+from ._runner import AskKey, Runner, Submission
 from ._waiting import WaitingRoom
 
 DEADLINE_HEADER = "Briarpond-Deadline-Ms"
@@ -236,7 +227,8 @@
         policy = self._node.document.policy
         hint = hint_of(parsed.model, parsed.texts(), policy.prefill_s_per_kb)
         pool = Pool(f"model/{parsed.model}", candidates, policy.engine_slots, hint)
-        plan = self._plan(account, request, kind_of(parsed.stream), idempotent, timeout_s)
+        kind = RequestKind.MODEL_STREAM if parsed.stream else RequestKind.MODEL_WHOLE
+        plan = self._plan(account, request, kind, idempotent, timeout_s)
         self._submit(request, request.path, body, reply, plan, pool, parsed.token_bound)
 
     def _service_request(self, account: AccountId, request: Request, reply: Reply) -> None:
@@ -252,11 +244,16 @@
             return self._node.server_candidates(name, now)
 
         pool = Pool(f"service/{name}", candidates, self._node.document.policy.server_slots, Hint())
-        plan = self._plan(account, request, None, idempotent, service.timeout_s)
+        plan = self._plan(account, request, RequestKind.SERVICE, idempotent, service.timeout_s)
         self._submit(request, target, request.body.read(), reply, plan, pool, 0)
 
     def _plan(
-        self, account: AccountId, request: Request, kind, idempotent: bool, silence_s: float
+        self,
+        account: AccountId,
+        request: Request,
+        kind: RequestKind,
+        idempotent: bool,
+        silence_s: float,
     ) -> RequestPlan | Refusal:
         key = request.headers.get(KEY_HEADER)
         if key is not None and not _KEY_PATTERN.match(key):
@@ -267,7 +264,7 @@
         limit_s = min(MAX_DEADLINE_S, int(wanted) / 1000.0) if wanted else MAX_DEADLINE_S
         return RequestPlan(
             account,
-            kind or RequestKind.SERVICE,
+            kind,
             idempotent and key is None,
             self._node.clock.now() + limit_s,
             silence_s,
--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -25,7 +25,6 @@
     KeyState,
     LossReason,
     Outcome,
-    Refusal,
     RefusalCode,
     ReplyData,
     ReplyEnd,
@@ -40,10 +39,9 @@
 from ._http_client import Exchange, Headers, HttpCall
 from ._inbound import Reply
 from ._node import NodeContext, parse_address
+from ._refusals import NODE_HEADER, OUTCOME_HEADER, error_body, refuse
 
 CLAIM_TIMEOUT_S = 3.0
-OUTCOME_HEADER = "Briarpond-Outcome"
-NODE_HEADER = "Briarpond-Node"
 _PASSED_HEADERS = frozenset({"content-type", "cache-control", "content-disposition", "location"})
 
 
@@ -356,7 +354,7 @@
         if not effect.in_stream:
             refuse(self._node, self._reply, refusal)
             return
-        body = msgspec.json.encode(_error_body(refusal, self._node.id))
+        body = msgspec.json.encode(error_body(refusal, self._node.id))
         self._reply.write(b"data: " + body + b"\n\n")
         self._reply.end()
 
@@ -389,47 +387,3 @@
 
 class _UsageBody(msgspec.Struct):
     usage: _Usage | None = None
-
-
-class ErrorDetail(msgspec.Struct):
-    """Error in the shape that clients of model APIs expect."""
-
-    message: str
-    type: str
-    param: str | None
-    code: str
-
-
-class ErrorBody(msgspec.Struct):
-    """Body of a refusal."""
-
-    error: ErrorDetail
-    outcome: str
-    node: str
-
-
-def refuse(node: NodeContext, reply: Reply, refusal: Refusal) -> None:
-    """Answer with a refusal, its outcome and when to try again."""
-    headers: Headers = (
-        ("Content-Type", "application/json"),
-        (OUTCOME_HEADER, refusal.outcome.value),
-        (NODE_HEADER, node.id),
-    )
-    if refusal.retry_after_s > 0:
-        headers += (("Retry-After", str(max(1, round(refusal.retry_after_s)))),)
-    if not node.drain.accepts:
-        reply.close_after()
-    reply.whole(refusal.status, headers, msgspec.json.encode(_error_body(refusal, node.id)))
-
-
-def _error_body(refusal: Refusal, node_id: str) -> ErrorBody:
-    kind = "invalid_request_error" if refusal.status < 500 else "server_error"
-    if refusal.status == 429:
-        kind = "rate_limit_error"
-    detail = ErrorDetail(refusal.message, kind, None, refusal.code.value)
-    return ErrorBody(detail, refusal.outcome.value, node_id)
-
-
-def kind_of(stream: bool) -> RequestKind:
-    """Return the kind of a model request."""
-    return RequestKind.MODEL_STREAM if stream else RequestKind.MODEL_WHOLE
--- /dev/null
+++ b/tests/daemon/test_stops.py
@@ -0,0 +1,97 @@
+"""Planned stops in real processes: nothing in flight is cut."""
+
+import signal
+import threading
+
+import pytest
+
+from tests.standins.deployment import Deployment, call, first_document, wait_until
+
+CHAT = {
+    "model": "briar-7b",
+    "stream": True,
+    "max_tokens": 150,
+    "messages": [{"role": "user", "content": "Mark crate 12."}],
+}
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    with Deployment(tmp_path) as running:
+        wait_until(lambda: running.configure(first_document({"kingston-c": 1})))
+        running.wait_ready(1)
+        yield running
+
+
+class Stream:
+    """One answer that is streamed in a thread."""
+
+    def __init__(self, deployment, name, tokens=150):
+        self.answer = None
+        self._port = deployment.nodes[name].callers
+        self._body = CHAT | {"max_tokens": tokens}
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+        wait_until(lambda: _status(deployment, name)["in_flight"] == 1)
+
+    def _run(self):
+        self.answer = call(self._port, "POST", "/v1/chat/completions", self._body)
+
+    def end(self):
+        self._thread.join(30)
+        return self.answer.body
+
+
+def _status(deployment, name):
+    return deployment.operator(name, "GET", "/operator/status").json()
+
+
+def _entries(deployment, name):
+    return call(deployment.nodes[name].callers, "GET", "/v1/entries").json()["addresses"]
+
+
+def test_two_of_three_stop_in_turn_and_nothing_is_cut(deployment):
+    wait_until(lambda: len(_entries(deployment, "kingston-c-n1")) == 3)
+    for name in ("hobart-a-n1", "glenorchy-b-n1"):
+        stream = Stream(deployment, name)
+        address = f"127.0.0.1:{deployment.nodes[name].callers}"
+        deployment.nodes[name].process.send_signal(signal.SIGTERM)
+        wait_until(lambda address=address: address not in _entries(deployment, "kingston-c-n1"))
+        late = call(deployment.nodes[name].callers, "POST", "/v1/chat/completions", CHAT)
+        assert late.body.endswith(b"[DONE]\n\n"), "it serves on while callers hold its address"
+        assert deployment.nodes[name].process.wait(30) == 0
+        assert stream.end().count(b"data: ") == 152
+    last = call(deployment.nodes["kingston-c-n1"].callers, "POST", "/v1/chat/completions", CHAT)
+    assert last.body.endswith(b"[DONE]\n\n")
+    left = deployment.operator("kingston-c-n1", "GET", "/operator/nodes").json()["nodes"]
+    assert [row["node"] for row in left] == ["kingston-c-n1"]
+
+
+def test_second_signal_ends_with_the_true_outcome(deployment):
+    stream = Stream(deployment, "hobart-a-n1", tokens=100_000)
+    process = deployment.nodes["hobart-a-n1"].process
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: _status(deployment, "hobart-a-n1")["stage"] == "leaving")
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(10) == 0
+    body = stream.end()
+    assert b'"outcome":"unknown"' in body
+    assert b"[DONE]" not in body
+
+
+def test_a_node_that_boots_without_the_log_gets_the_state_from_a_peer(deployment):
+    deployment.control(deployment.log_port, down=True)
+    seed = f"127.0.0.1:{deployment.nodes['hobart-a-n1'].peers}"
+    deployment.seeds = [seed]
+    late = deployment.start_node("hobart-a-n2", "hobart-a")
+    wait_until(lambda: call(late.callers, "GET", "/ready", key="").status == 200)
+    wait_until(
+        lambda: call(late.callers, "POST", "/v1/chat/completions", CHAT).body.endswith(
+            b"[DONE]\n\n"
+        )
+    )
+    refused = deployment.operator(
+        "hobart-a-n2", "POST", "/operator/patches", {"base_version": 1, "patch": {}}
+    )
+    assert refused.status == 503
+    assert refused.json()["verdict"] in ("unknown", "not-submitted")
--- a/tests/matrix/scenario.py
+++ b/tests/matrix/scenario.py
@@ -21,6 +21,8 @@
 ROLL_AT_S = 9.0
 DRAIN_AT_S = 12.0
 RESTART_AT_S = 23.0
+FEWER_AT_S = 19.0
+MORE_AT_S = 25.0
 LOAD_END_S = 32.0
 END_S = 48.0
 LOAD_EVERY_S = 0.15
@@ -173,11 +175,17 @@
     world.at(ROLL_AT_S, lambda: patches.submit("n2", deployments))
     world.at(ROLL_AT_S + 1.0, lambda: patches.race())
     world.at(DRAIN_AT_S, lambda: drain(world, "n3"))
+    world.at(FEWER_AT_S, lambda: patches.insist("n2", _hobart_groups(1)))
+    world.at(MORE_AT_S, lambda: patches.insist("n2", _hobart_groups(2)))
     world.at(RESTART_AT_S, lambda: restart(world, "n3"))
     world.run_until(END_S)
     return world
 
 
+def _hobart_groups(count: int) -> dict:
+    return {"deployments": {"briar-pool": {"groups": {"hobart-a": count}}}}
+
+
 class Patches:
     """Operators that submit patches, one of them in a race."""
 
@@ -196,6 +204,17 @@
 
         node.patch(version, patch, done)
 
+    def insist(self, name: str, patch: dict) -> None:
+        """Submit a patch again each second until it is accepted."""
+        node = self.world.nodes[name]
+
+        def done(answer: dict) -> None:
+            self.world.note("verdict", node=name, **answer)
+            if answer["verdict"] != "accepted":
+                self.world.after(1.0, lambda: self.insist(name, patch))
+
+        node.patch(node.assembly.context.tail.state.config.version, patch, done)
+
     def race(self) -> None:
         """Submit two patches against one version at two nodes."""
         for name, weight in (("n1", 2.0), ("n2", 3.0)):
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -145,6 +145,7 @@
     stop: dict = field(default_factory=lambda: {"entry_ttl_s": 1.0, "limit_s": 30.0})
     engine_args: dict = field(default_factory=dict)
     limits: dict = field(default_factory=dict)
+    seeds: list = field(default_factory=list)
     retention: int = 100_000
     nodes: dict[str, NodeProcess] = field(default_factory=dict)
     processes: list[subprocess.Popen] = field(default_factory=list)
@@ -299,7 +300,7 @@
                 "log": f"127.0.0.1:{self.log_port}",
                 "instances": f"127.0.0.1:{self.list_port}",
             },
-            "peers": {"secret": PEER_SECRET},
+            "peers": {"secret": PEER_SECRET, "seeds": self.seeds},
             "operators": [{"name": "ada", "key_sha256": sha256(OPERATOR_KEY)}],
             "limits": self.limits,
             "timing": self.timing,
