Forget instances that were replaced long ago

The functions to forget were there and nothing called them.

Change: once a minute a node drops reports older than five minutes and what the router remembers of instances that the list no longer shows, but for those with requests of this node.

--- a/briarpond/daemon/_assembly.py
+++ b/briarpond/daemon/_assembly.py
@@ -20,6 +20,8 @@
 TICK_S = 0.05
 GAUGES_S = 1.0
 LAST_WORD_S = 1.0
+FORGET_EVERY_S = 60.0
+FORGET_AFTER_S = 300.0
 
 
 class Assembly:
@@ -65,6 +67,7 @@
         self.membership.start()
         self.clock.every(TICK_S, self._tick)
         self.clock.every(GAUGES_S, self._gauges)
+        self.clock.every(FORGET_EVERY_S, self._forget)
 
     def begin_drain(self) -> None:
         """Begin the graceful shutdown, or force it when it has begun already."""
@@ -114,6 +117,13 @@
         )
         context.metrics.stranded_accelerators.set({}, stranded)
 
+    def _forget(self) -> None:
+        """Drop what is remembered of instances that were replaced long ago."""
+        context = self.context
+        context.presence.forget_before(self.clock.now() - FORGET_AFTER_S)
+        if context.fleet:
+            context.router.forget(set(context.fleet))
+
     def _plans(self) -> bool:
         return self.membership.holds(self.membership.plan_scope)
 
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -98,6 +98,22 @@
     assert not beliefs.holds("a", "p0", 2.0)
 
 
+def test_instances_that_are_gone_are_forgotten():
+    router = Router(random.Random(1))
+    hint = Hint("p", 0.1, 0.1)
+    sent = {}
+    for name in ("gone", "busy", "known"):
+        choice = router.choose([_candidate(name)], hint, SLOTS, frozenset(), 1.0)
+        sent[name] = router.begin(choice, hint, SLOTS, 1.0)
+    router.end(sent["gone"], 2.0)
+    router.forget({"known"})
+    knowledge = router._knowledge
+    assert set(knowledge.own._queued) == {"busy", "known"}
+    assert not knowledge.beliefs.holds("gone", "p", 2.0)
+    assert knowledge.beliefs.holds("known", "p", 2.0)
+    router.end(sent["busy"], 3.0)
+
+
 def test_hint_tells_the_shared_part():
     assert hint_of("m", ["short"], 0.05).prefix is None
     system = "Follow the export rules. " * 40
