Engines of the stand-ins cache prompt prefixes

Change: a bounded cache of shared parts; a cached one shortens the prefill, and whole answers report cached tokens as published clients expect.

Measured: tests of the path pass, the second request with a prefix reports its tokens as cached, the first none.

--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -58,6 +58,17 @@
         stranger.models.list()
 
 
+def test_second_request_with_a_prefix_finds_it_cached(deployment):
+    node = next(iter(deployment.nodes.values()))
+    messages = [{"role": "system", "content": "Follow the export rules."}, CHAT["messages"][0]]
+    answers = [
+        call(node.callers, "POST", "/v1/chat/completions", CHAT | {"messages": messages}).json()
+        for _ in range(2)
+    ]
+    cached = [answer["usage"]["prompt_tokens_details"]["cached_tokens"] for answer in answers]
+    assert cached[0] == 0 and cached[1] > 0
+
+
 def test_non_idempotent_order_runs_once(deployment):
     node = next(iter(deployment.nodes.values()))
     answer = call(node.callers, "POST", "/services/cutdesk/orders", {"order": "once"})
--- a/tests/standins/engines.py
+++ b/tests/standins/engines.py
@@ -8,7 +8,7 @@
 
 import hashlib
 import uuid
-from collections import deque
+from collections import OrderedDict, deque
 
 import msgspec
 
@@ -27,6 +27,9 @@
 
 from .web import body_json, send_json
 
+CACHED_PREFIXES = 16
+CACHED_PREFILL_PART = 0.1
+
 
 class EngineSettings(msgspec.Struct):
     """Times of an engine in seconds."""
@@ -92,8 +95,19 @@
         self.state = EngineState.IDLE
         self.in_flight = 0
         self.queued = 0
+        self.cache: OrderedDict[bytes, bool] = OrderedDict()
         self.boot = object()
 
+    def cached(self, body) -> bool:
+        """Whether the shared part of a prompt is cached; it is from now on."""
+        messages = body.get("messages") or [body.get("prompt")]
+        shared = msgspec.json.encode(messages[:-1] or messages)
+        hit = self.cache.pop(shared, False)
+        self.cache[shared] = True
+        if len(self.cache) > CACHED_PREFIXES:
+            self.cache.popitem(last=False)
+        return hit
+
     def change(self, change) -> None:
         """Carry out a fault."""
         match change["do"]:
@@ -219,6 +233,7 @@
         self.model = body["model"]
         self.seed = hashlib.sha256(run.prompt.encode()).hexdigest()[:8]
         self.boot = engine.boot
+        self.cached = engine.cached(body)
         self.words: list[str] = []
         self.chat = True
 
@@ -226,7 +241,10 @@
         """Begin after the prefill."""
         self.chat = chat
         self.engine.count(1, 1)
-        self.engine.clock.after(self.engine.settings.prefill_s, self._prefilled)
+        prefill_s = self.engine.settings.prefill_s
+        if self.cached:
+            prefill_s *= CACHED_PREFILL_PART
+        self.engine.clock.after(prefill_s, self._prefilled)
 
     def _prefilled(self) -> None:
         if self.engine.boot is self.boot:
@@ -269,10 +287,12 @@
                 choice["message"] = {"role": "assistant", "content": text}
             else:
                 choice["text"] = text
+            prompt_tokens = len(self.run.prompt) // 4
             usage = {
-                "prompt_tokens": len(self.run.prompt) // 4,
+                "prompt_tokens": prompt_tokens,
                 "completion_tokens": self.count,
-                "total_tokens": len(self.run.prompt) // 4 + self.count,
+                "total_tokens": prompt_tokens + self.count,
+                "prompt_tokens_details": {"cached_tokens": prompt_tokens * self.cached},
             }
             kind = "chat.completion" if self.chat else "text_completion"
             send_json(self.reply, self._body(kind, choice) | {"usage": usage})
