Checker: only the loss of a member of that group opens the confirm window

Cause: reading the change again, the check of whole groups took the loss of any instance as excuse for a request that began in a group that was not whole.

Change: runs name the members that the engine's order names, and only their losses count; a test shows that others do not.

--- a/tests/matrix/checker.py
+++ b/tests/matrix/checker.py
@@ -108,14 +108,22 @@
 
 
 def _whole_groups(history, losses) -> list[str]:
-    """A non-idempotent request begins only in a whole group, but for the stated window."""
+    """A non-idempotent request begins only in a whole group, but for the stated window.
+
+    Only the loss of a member of that very group opens the window.
+    """
     found = []
     for event in history:
         if event.kind != "run" or event.fields["whole"]:
             continue
         if not _non_idempotent(event.fields["request"]):
             continue
-        began = [start for spans in losses.values() for start, end in spans if start <= event.at]
+        began = [
+            start
+            for member in event.fields["members"]
+            for start, _ in losses.get(member, ())
+            if start <= event.at
+        ]
         if not began or event.at - max(began) > CONFIRM_WINDOW_S:
             found.append(f"{event.fields['request']} began in a group that was not whole")
     return found
--- a/tests/matrix/test_checker.py
+++ b/tests/matrix/test_checker.py
@@ -20,7 +20,8 @@
 
 
 def _ran(request, at=1.0, whole=True, instance="e1"):
-    return Event(at, "run", {"request": request, "whole": whole, "instance": instance})
+    fields = {"request": request, "whole": whole, "instance": instance}
+    return Event(at, "run", fields | {"members": ("e1", "e2")})
 
 
 def _view(at, version, document="{}", groups=None):
@@ -50,6 +51,13 @@
     assert len(violations(history, {})) == 1
 
 
+def test_only_the_loss_of_a_member_opens_the_window():
+    run_in_part = [_ran("order-1", whole=False)]
+    assert violations(run_in_part, {"e2": [(0.99, 5.0)]}) == []
+    assert len(violations(run_in_part, {"e7": [(0.99, 5.0)]})) == 1
+    assert len(violations(run_in_part, {"e2": [(0.5, 5.0)]})) == 1
+
+
 def test_request_without_a_word_is_found():
     asked = Event(1.0, "asked", {"request": "order-1", "node": "n1", "epoch": 1})
     assert len(unanswered([asked], set())) == 1
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -464,6 +464,11 @@
             for peer in peers
         )
 
+    def members(self) -> tuple[str, ...]:
+        """Return the names of the members that its order names."""
+        peers = self.order.peers if self.order is not None else ()
+        return tuple(getattr(self.world.endpoints.get(peer), "name", peer) for peer in peers)
+
     def _generate(self, conn: FakeConnection) -> None:
         headers = dict(conn.call.headers)
         asked = int(headers.get("engine-generation", "0"))
@@ -481,6 +486,7 @@
             asked=asked,
             held=held,
             whole=self.whole(),
+            members=self.members(),
             node=conn.node.name,
         )
         self.in_flight += 1
