Ports of the own interface move to briarpond/ports; loop, sockets and logs get packages

Cause: the folder briarpond/platform becomes the adapter for the users' platform, and both faces need the same loop, connections and log lines.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -46,7 +46,7 @@
     encode_frame,
     merge_groups,
 )
-from briarpond.platform import (
+from briarpond.ports import (
     EngineLoad,
     EngineState,
     FleetInstance,
--- a/briarpond/daemon/_app.py
+++ b/briarpond/daemon/_app.py
@@ -7,13 +7,12 @@
 from circuits.web.http import HTTP
 
 from briarpond.conf import Settings
+from briarpond.logs import log_event, log_fatal_event, log_warning
+from briarpond.net import Clock, Connector
 
 from ._assembly import Assembly
-from ._clock import Clock
 from ._http_client import HttpClient
 from ._inbound import Listener
-from ._logs import log_event, log_fatal_event, log_warning
-from ._outbound import Connector
 from ._peer_net import PeerCaller, PeerServer
 
 EXIT_INVARIANT = 70
--- a/briarpond/daemon/_assembly.py
+++ b/briarpond/daemon/_assembly.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 
 from briarpond.conf import Settings
+from briarpond.logs import log_event, log_warning
+from briarpond.net import Clock
 from briarpond.nodes import DrainStage
 
 from ._callers import CallerDesk
-from ._clock import Clock
 from ._fleet_link import FleetLink
 from ._http_client import HttpClient
 from ._log_link import LogLink
-from ._logs import log_event, log_warning
 from ._membership import Membership
 from ._node import NodeContext
 from ._operators import OperatorDesk
--- a/briarpond/daemon/_fleet_link.py
+++ b/briarpond/daemon/_fleet_link.py
@@ -12,7 +12,8 @@
 )
 from briarpond.ids import DataCentre, GroupId, InstanceId
 from briarpond.journal import Group, GroupPhase, NodeStage, Settled
-from briarpond.platform import (
+from briarpond.logs import log_event, log_warning
+from briarpond.ports import (
     FleetInstance,
     StatusReport,
     decode_fleet,
@@ -24,7 +25,6 @@
 )
 from briarpond.requests import LossReason, Target
 
-from ._logs import log_event, log_warning
 from ._node import NodeContext, parse_address
 
 ORDER_RETRY_S = 1.0
--- a/briarpond/daemon/_http_client.py
+++ b/briarpond/daemon/_http_client.py
@@ -8,11 +8,9 @@
 import msgspec
 
 from briarpond.conf import Address
+from briarpond.net import Clock, Connection, Connector, Timer
 from briarpond.requests import LossReason
 
-from ._clock import Clock, Timer
-from ._outbound import Connection, Connector
-
 IDLE_PER_ADDRESS = 8
 IDLE_S = 10.0
 MAX_CONTROL_BYTES = 16 * 1024 * 1024
--- a/briarpond/daemon/_inbound.py
+++ b/briarpond/daemon/_inbound.py
@@ -11,8 +11,8 @@
 from circuits.web.wrappers import Request, Response
 
 from briarpond.conf import Address, LimitSettings
+from briarpond.net import Clock
 
-from ._clock import Clock
 from ._framing import RequestFrame
 
 SWEEP_S = 1.0
--- a/briarpond/daemon/_log_link.py
+++ b/briarpond/daemon/_log_link.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 
 from briarpond.journal import Page, TailStatus
-from briarpond.platform import append_request, decode_append, decode_page, read_request
+from briarpond.logs import log_event, log_warning
+from briarpond.ports import append_request, decode_append, decode_page, read_request
 from briarpond.requests import LossReason
 
-from ._logs import log_event, log_warning
 from ._node import NodeContext
 
 PUMP_S = 0.05
--- a/briarpond/daemon/_membership.py
+++ b/briarpond/daemon/_membership.py
@@ -13,8 +13,8 @@
     TailStatus,
     split_snapshot,
 )
+from briarpond.logs import log_event, log_warning
 
-from ._logs import log_event, log_warning
 from ._node import NodeContext
 
 UPKEEP_S = 0.25
--- a/briarpond/daemon/_operators.py
+++ b/briarpond/daemon/_operators.py
@@ -11,9 +11,9 @@
 from briarpond.audit import AuditLine, audit_lines, changes_since
 from briarpond.ids import OperatorName
 from briarpond.journal import GroupPhase, OperatorAction, PatchSubmit, Settled
+from briarpond.logs import log_event
 
 from ._inbound import Reply
-from ._logs import log_event
 from ._node import NodeContext
 
 PATCH_TIMEOUT_S = 8.0
--- a/briarpond/daemon/_peer_link.py
+++ b/briarpond/daemon/_peer_link.py
@@ -5,6 +5,7 @@
 from briarpond.conf import Address
 from briarpond.ids import Incarnation, InstanceId, NodeId, RequestKey
 from briarpond.journal import Group, LogEntry, Node, Page, decode_snapshot
+from briarpond.logs import log_event, log_warning
 from briarpond.nodes import PeerView
 from briarpond.peers import (
     PROTOCOL_VERSION,
@@ -26,7 +27,6 @@
 from briarpond.requests import KeyEntry, KeyState
 
 from ._log_link import LogLink
-from ._logs import log_event, log_warning
 from ._node import CONTACT_NEVER, NodeContext, parse_address
 
 FANOUT = 2
--- a/briarpond/daemon/_peer_net.py
+++ b/briarpond/daemon/_peer_net.py
@@ -8,12 +8,10 @@
 from circuits.net.sockets import TCPServer
 
 from briarpond.conf import Address
+from briarpond.logs import log_warning
+from briarpond.net import Clock, Connection, Connector, Timer
 from briarpond.peers import Envelope, FrameAssembler, decode_frame, encode_frame
 
-from ._clock import Clock, Timer
-from ._logs import log_warning
-from ._outbound import Connection, Connector
-
 CALL_TIMEOUT_S = 1.5
 MAX_PEER_CONNECTIONS = 2_000
 READ_BYTES = 64 * 1024
--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -6,7 +6,7 @@
 
 from briarpond.ids import AttemptId, Incarnation, NodeId, RequestKey
 from briarpond.journal import KeyClaim, Settled
-from briarpond.platform import (
+from briarpond.ports import (
     GENERATION_HEADER,
     NOT_RUN_HEADER,
     PRIORITY_HEADER,
--- a/briarpond/groups/_inputs.py
+++ b/briarpond/groups/_inputs.py
@@ -16,7 +16,7 @@
     GroupSpec,
     State,
 )
-from briarpond.platform import FleetInstance, InstanceState
+from briarpond.ports import FleetInstance, InstanceState
 
 from ._presence import PresenceTable
 
--- a/briarpond/groups/_models.py
+++ b/briarpond/groups/_models.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from briarpond.ids import GroupId, InstanceId, Position
-from briarpond.platform import EngineLoad
+from briarpond.ports import EngineLoad
 
 
 class ReadinessCode(Enum):
--- a/briarpond/groups/_orders.py
+++ b/briarpond/groups/_orders.py
@@ -6,7 +6,7 @@
 
 from briarpond.ids import GroupId, InstanceId
 from briarpond.journal import Group, GroupPhase
-from briarpond.platform import EngineState, LoadOrder
+from briarpond.ports import EngineState, LoadOrder
 
 from ._presence import PresenceTable
 
--- a/briarpond/groups/_pool.py
+++ b/briarpond/groups/_pool.py
@@ -5,7 +5,7 @@
 
 from briarpond.ids import FabricDomain, InstanceId
 from briarpond.journal import Member
-from briarpond.platform import InstanceState
+from briarpond.ports import InstanceState
 
 from ._inputs import PlannerInput
 
--- a/briarpond/groups/_presence.py
+++ b/briarpond/groups/_presence.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from briarpond.ids import InstanceId
-from briarpond.platform import StatusReport
+from briarpond.ports import StatusReport
 
 
 class Presence(msgspec.Struct, frozen=True):
--- a/briarpond/groups/_readiness.py
+++ b/briarpond/groups/_readiness.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from briarpond.journal import Group, GroupPhase, Member
-from briarpond.platform import EngineState, StatusReport
+from briarpond.ports import EngineState, StatusReport
 
 from ._models import Readiness, ReadinessCode
 from ._presence import PresenceTable
--- a/briarpond/daemon/_outbound.py
+++ b/briarpond/net/_outbound.py
@@ -13,8 +13,7 @@
 from circuits import BaseComponent, handler
 from circuits.core.pollers import BasePoller
 
-from briarpond.conf import Address
-
+from ._address import Address
 from ._clock import Clock, Timer
 
 READ_BYTES = 64 * 1024
--- a/briarpond/peers/_digest.py
+++ b/briarpond/peers/_digest.py
@@ -13,7 +13,7 @@
 from briarpond.ids import GroupId, NodeId, Position
 from briarpond.journal import Node, Tail, encode_snapshot
 from briarpond.nodes import PeerView
-from briarpond.platform import EngineLoad
+from briarpond.ports import EngineLoad
 
 from ._models import AccountDemand, GroupDigest, LogRow, NodeDigest, PeerDigest, Pull, PullAnswer
 
--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -24,7 +24,7 @@
     State,
     apply,
 )
-from briarpond.platform import EngineState, FleetInstance, InstanceState, StatusReport
+from briarpond.ports import EngineState, FleetInstance, InstanceState, StatusReport
 
 SIZE = 2
 TTL_S = 2.0
--- a/tests/matrix/scenario.py
+++ b/tests/matrix/scenario.py
@@ -3,7 +3,7 @@
 import io
 import json
 
-from briarpond.platform import FleetInstance, InstanceState
+from briarpond.ports import FleetInstance, InstanceState
 from tests.standins.deployment import first_document
 
 from .world import (
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -18,10 +18,10 @@
 
 from briarpond.conf import Settings
 from briarpond.daemon._assembly import Assembly
-from briarpond.daemon._clock import Timer
 from briarpond.daemon._http_client import CallState, HttpCall
+from briarpond.net import Timer
 from briarpond.peers import decode_frame, encode_frame
-from briarpond.platform import (
+from briarpond.ports import (
     EngineLoad,
     EngineState,
     FleetInstance,
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -30,7 +30,7 @@
     merge_nodes,
     probers,
 )
-from briarpond.platform import EngineLoad
+from briarpond.ports import EngineLoad
 
 SENDER = NodeDigest("n2", "inc", 0, False)
 SECRET = b"a secret of at least sixteen bytes"
--- a/tests/standins/__main__.py
+++ b/tests/standins/__main__.py
@@ -8,8 +8,8 @@
 from circuits.core.pollers import EPoll
 from cyclopts import App as CommandLine
 
-from briarpond.daemon._clock import Clock
-from briarpond.platform import FleetList
+from briarpond.net import Clock
+from briarpond.ports import FleetList
 
 from .engines import Engine, EngineFleet, EngineSettings
 from .log import LogStandIn
--- a/tests/standins/engines.py
+++ b/tests/standins/engines.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from briarpond.platform import (
+from briarpond.ports import (
     GENERATION_HEADER,
     NOT_RUN_HEADER,
     REQUEST_HEADER,
--- a/tests/standins/instances.py
+++ b/tests/standins/instances.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from briarpond.platform import FleetList, InstanceState
+from briarpond.ports import FleetList, InstanceState
 
 from .web import body_json, send_json
 
--- a/tests/standins/web.py
+++ b/tests/standins/web.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from briarpond.conf import Address, LimitSettings
-from briarpond.daemon._clock import Clock
 from briarpond.daemon._inbound import Listener, Reply, RequestHandler
+from briarpond.net import Clock
 
 JSON = (("Content-Type", "application/json"),)
 
