Adapter to the platform, planner of groups and dispatch decisions, without the shell

Cause: the users' platform names routes, groups, orders and a keyed log that the product did not know. Existing tests pass.

--- a/briarpond/daemon/_app.py
+++ b/briarpond/daemon/_app.py
@@ -8,10 +8,9 @@
 
 from briarpond.conf import Settings
 from briarpond.logs import log_event, log_fatal_event, log_warning
-from briarpond.net import Clock, Connector
+from briarpond.net import Clock, Connector, HttpClient
 
 from ._assembly import Assembly
-from ._http_client import HttpClient
 from ._inbound import Listener
 from ._peer_net import PeerCaller, PeerServer
 
--- a/briarpond/daemon/_assembly.py
+++ b/briarpond/daemon/_assembly.py
@@ -5,12 +5,11 @@
 
 from briarpond.conf import Settings
 from briarpond.logs import log_event, log_warning
-from briarpond.net import Clock
+from briarpond.net import Clock, HttpClient
 from briarpond.nodes import DrainStage
 
 from ._callers import CallerDesk
 from ._fleet_link import FleetLink
-from ._http_client import HttpClient
 from ._log_link import LogLink
 from ._membership import Membership
 from ._node import NodeContext
--- a/briarpond/daemon/_node.py
+++ b/briarpond/daemon/_node.py
@@ -14,14 +14,12 @@
 from briarpond.ids import AccountId, DataCentre, GroupId, Incarnation, InstanceId, NodeId, RecordId
 from briarpond.journal import Group, GroupPhase, Node, Outbox, Record, Settled, Tail
 from briarpond.metrics import Metrics
-from briarpond.net import Clock
+from briarpond.net import Clock, HttpClient
 from briarpond.nodes import Drain, PeerViews
 from briarpond.ports import EngineLoad, FleetInstance, InstanceState
 from briarpond.requests import KeyLedger, RetryBudget, Target, TargetKind
 from briarpond.routing import Candidate, Router
 
-from ._http_client import HttpClient
-
 SPREAD_S = 2.0
 OTHER_DATA_CENTRE_S = 0.01
 CONTACT_NEVER = float("-inf")
--- a/briarpond/daemon/_refusals.py
+++ b/briarpond/daemon/_refusals.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
+from briarpond.net import Headers
 from briarpond.requests import Refusal
 
-from ._http_client import Headers
 from ._inbound import Reply
 from ._node import NodeContext
 
--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -6,6 +6,7 @@
 
 from briarpond.ids import AttemptId, Incarnation, NodeId, RequestKey
 from briarpond.journal import KeyClaim, Settled
+from briarpond.net import Exchange, Headers, HttpCall
 from briarpond.ports import (
     GENERATION_HEADER,
     NOT_RUN_HEADER,
@@ -36,7 +37,6 @@
 
 from ._attempts import Attempts
 from ._fleet_link import FleetLink
-from ._http_client import Exchange, Headers, HttpCall
 from ._inbound import Reply
 from ._node import NodeContext, parse_address
 from ._refusals import NODE_HEADER, OUTCOME_HEADER, error_body, refuse
--- /dev/null
+++ b/briarpond/dispatch/__init__.py
@@ -0,0 +1,25 @@
+"""Where a request goes, whether it is taken, and what follows when a send fails."""
+
+from ._admission import Verdict, VerdictKind, judge
+from ._budget import RetryBudget
+from ._events import EventSplitter
+from ._load import GroupLoad, LoadBook
+from ._recovery import Failure, NextStep, Progress, next_step
+from ._speed import Work, first_event_s, place_s
+
+__all__ = [
+    "EventSplitter",
+    "Failure",
+    "GroupLoad",
+    "LoadBook",
+    "NextStep",
+    "Progress",
+    "RetryBudget",
+    "Verdict",
+    "VerdictKind",
+    "Work",
+    "first_event_s",
+    "judge",
+    "next_step",
+    "place_s",
+]
--- /dev/null
+++ b/briarpond/fleet/__init__.py
@@ -0,0 +1,15 @@
+"""What is known of the instances and of the groups that they say they form."""
+
+from ._groups import Group, groups_of
+from ._models import Instance, InstanceState, Membership, MemberState
+from ._view import FleetView
+
+__all__ = [
+    "FleetView",
+    "Group",
+    "Instance",
+    "InstanceState",
+    "MemberState",
+    "Membership",
+    "groups_of",
+]
--- /dev/null
+++ b/briarpond/fleet/_view.py
@@ -0,0 +1,98 @@
+"""The instances that are listed, through outages of the list."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from briarpond.ids import InstanceId, ServiceName
+
+from ._models import Instance, InstanceState
+
+# Entries that lapsed during an outage of the store are back this soon after it.
+RETURN_GRACE_S = 2.5
+
+
+class _Row(msgspec.Struct):
+    instance: Instance
+    missing_since: float | None = None
+
+
+class FleetView:
+    """Folds changes of the list; keeps lapsed entries for a while after an outage.
+
+    Attributes
+    ----------
+    left : dict
+        Instances that are draining or were removed, with the time they were seen so.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[InstanceId, _Row] = {}
+        self._trusted_after = 0.0
+        self.left: dict[InstanceId, float] = {}
+        self.version = 0
+
+    def put(self, instance: Instance, now: float) -> None:
+        """Take a new or changed entry."""
+        self._rows[instance.id] = _Row(instance)
+        if instance.state is InstanceState.DRAINING:
+            self.left.setdefault(instance.id, now)
+        else:
+            self.left.pop(instance.id, None)
+        self.version += 1
+
+    def remove(self, instance: InstanceId, now: float) -> None:
+        """Take the removal of an entry."""
+        row = self._rows.get(instance)
+        if row is None:
+            return
+        self.version += 1
+        if now < self._trusted_after:
+            row.missing_since = now
+        else:
+            self._forget(instance, now)
+
+    def replace_all(self, instances: Iterable[Instance], now: float) -> None:
+        """Take the whole list, as read after a gap."""
+        listed = {instance.id: instance for instance in instances}
+        for instance_id in list(self._rows):
+            if instance_id not in listed:
+                self.remove(instance_id, now)
+        for instance in listed.values():
+            known = self._rows.get(instance.id)
+            if known is None or known.instance != instance or known.missing_since is not None:
+                self.put(instance, now)
+
+    def outage_ended(self, now: float) -> None:
+        """Distrust removals for a moment: living instances write their entries anew."""
+        self._trusted_after = now + RETURN_GRACE_S
+
+    def settle(self, now: float) -> None:
+        """Drop entries that did not come back after an outage."""
+        if now < self._trusted_after:
+            return
+        for instance_id, row in list(self._rows.items()):
+            if row.missing_since is not None:
+                self._forget(instance_id, now)
+                self.version += 1
+
+    def get(self, instance: InstanceId) -> Instance | None:
+        """Return the entry of an instance."""
+        row = self._rows.get(instance)
+        return None if row is None else row.instance
+
+    def all(self) -> list[Instance]:
+        """Return all entries."""
+        return [row.instance for row in self._rows.values()]
+
+    def of(self, service: ServiceName) -> list[Instance]:
+        """Return the entries of a service that take new work."""
+        return [
+            row.instance
+            for row in self._rows.values()
+            if row.instance.service == service and row.instance.state is InstanceState.READY
+        ]
+
+    def _forget(self, instance: InstanceId, now: float) -> None:
+        del self._rows[instance]
+        self.left.setdefault(instance, now)
--- a/briarpond/net/_outbound.py
+++ b/briarpond/net/_outbound.py
@@ -5,6 +5,7 @@
 writability instead, and carries all connections on one channel.
 """
 
+import contextlib
 import errno
 import socket
 from collections.abc import Callable
@@ -15,8 +16,12 @@
 
 from ._address import Address
 from ._clock import Clock, Timer
+from ._poller import DirectPoller
 
 READ_BYTES = 64 * 1024
+LINGER_S = 1.0
+# A connection whose bytes nobody acknowledges for so long is lost.
+UNACKNOWLEDGED_MS = 5_000
 
 
 class ConnectionUser(Protocol):
@@ -40,6 +45,7 @@
         self.user: ConnectionUser | None = None
         self.established = False
         self.closed = False
+        self.calls = 0
         self.sock = sock
         self.buffer = bytearray()
         self.connect_timer: Timer | None = None
@@ -53,6 +59,14 @@
         """Close at once; the user is not told."""
         self._owner.drop(self)
 
+    def close_after_reading(self) -> None:
+        """Send the end; close once the other side has ended too, or soon after.
+
+        Closing with unread bytes would reset the connection and take back what
+        was just sent.
+        """
+        self._owner.half_close(self)
+
     def pause(self) -> None:
         """Stop reading, so that the other side is held back."""
         self._owner.set_reading(self, False)
@@ -67,7 +81,7 @@
 
     channel = "outbound"
 
-    def __init__(self, clock: Clock, poller: BasePoller) -> None:
+    def __init__(self, clock: Clock, poller: BasePoller | DirectPoller) -> None:
         super().__init__()
         self._clock = clock
         self._poller = poller
@@ -78,6 +92,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
         conn = Connection(self, sock, address)
         conn.user = user
         self._connections[sock] = conn
@@ -89,6 +104,16 @@
         conn.connect_timer = self._clock.after(timeout_s, lambda: self._on_connect_timeout(conn))
         return conn
 
+    def adopt(self, sock: socket.socket, address: Address) -> Connection:
+        """Drive a connection that was accepted."""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        conn = Connection(self, sock, address)
+        conn.established = True
+        self._connections[sock] = conn
+        self._poller.addReader(self, sock)
+        return conn
+
     def send(self, conn: Connection, data: bytes) -> None:
         """Send directly while nothing is buffered; it saves a turn of the loop."""
         if conn.closed:
@@ -110,6 +135,16 @@
         self._connections.pop(conn.sock, None)
         self._poller.discard(conn.sock)
         conn.sock.close()
+        conn.buffer.clear()
+
+    def half_close(self, conn: Connection) -> None:
+        """End our direction and pass over what still comes."""
+        if conn.closed:
+            return
+        conn.user = None
+        with contextlib.suppress(OSError):
+            conn.sock.shutdown(socket.SHUT_WR)
+        self._clock.after(LINGER_S, conn.close)
 
     def set_reading(self, conn: Connection, reading: bool) -> None:
         """Start or stop reading."""
@@ -123,6 +158,14 @@
 
     @handler("_read")
     def _on_read(self, sock: socket.socket) -> None:
+        self.readable(sock)
+
+    @handler("_write")
+    def _on_write(self, sock: socket.socket) -> None:
+        self.writable(sock)
+
+    def readable(self, sock: socket.socket) -> None:
+        """Read what has arrived on `sock`."""
         conn = self._connections.get(sock)
         if conn is None:
             return
@@ -138,8 +181,8 @@
         elif conn.user is not None:
             conn.user.on_data(data)
 
-    @handler("_write")
-    def _on_write(self, sock: socket.socket) -> None:
+    def writable(self, sock: socket.socket) -> None:
+        """Go on writing to `sock`, or learn how its connect has ended."""
         conn = self._connections.get(sock)
         if conn is None:
             return
--- /dev/null
+++ b/briarpond/placement/__init__.py
@@ -0,0 +1,7 @@
+"""Which instances form groups of which model: decisions of the one planner."""
+
+from ._loads import LoadBudget
+from ._models import Order, OrderKind, PlannedGroup, Stage
+from ._planner import Planner
+
+__all__ = ["LoadBudget", "Order", "OrderKind", "PlannedGroup", "Planner", "Stage"]
--- /dev/null
+++ b/briarpond/placement/_loads.py
@@ -0,0 +1,32 @@
+"""Limit on loads from the shared weight store."""
+
+from collections import deque
+
+
+class LoadBudget:
+    """Counts loads in a sliding window and those that run.
+
+    Parameters
+    ----------
+    per_s : float
+        Loads that may start in a second.
+    at_once : int
+        Loads that run at full speed side by side.
+    window_s : float
+        Window over which the limit is enforced.
+    """
+
+    def __init__(self, per_s: float, at_once: int, window_s: float) -> None:
+        self._most = max(1, int(per_s * window_s))
+        self._at_once = at_once
+        self._window_s = window_s
+        self._started: deque[float] = deque()
+
+    def take(self, running: int, now: float) -> bool:
+        """Whether one more load may start now, beside `running` others."""
+        while self._started and self._started[0] <= now - self._window_s:
+            self._started.popleft()
+        if running >= self._at_once or len(self._started) >= self._most:
+            return False
+        self._started.append(now)
+        return True
--- a/briarpond/requests/__init__.py
+++ b/briarpond/requests/__init__.py
@@ -1,5 +1,7 @@
 """Requests of callers: attempts, outcomes and idempotency keys."""
 
+from briarpond.net import LossReason
+
 from ._effects import (
     AskOwner,
     CancelAttempt,
@@ -16,7 +18,6 @@
 from ._machine import RequestMachine
 from ._models import (
     ClaimResult,
-    LossReason,
     Outcome,
     Refusal,
     RefusalCode,
--- a/briarpond/requests/_machine.py
+++ b/briarpond/requests/_machine.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 from briarpond.ids import AttemptId
+from briarpond.net import LossReason
 
 from ._effects import (
     AskOwner,
@@ -25,7 +26,6 @@
 from ._keys import KeyEntry, KeyState
 from ._models import (
     ClaimResult,
-    LossReason,
     Outcome,
     Refusal,
     RefusalCode,
--- a/briarpond/requests/_models.py
+++ b/briarpond/requests/_models.py
@@ -100,15 +100,6 @@
     whole_answer_bytes: int = 8 * 1024 * 1024
 
 
-class LossReason(Enum):
-    """How an attempt ended before its answer was whole."""
-
-    CONNECT_FAILED = "connect-failed"
-    CONNECTION_LOST = "connection-lost"
-    MALFORMED = "malformed"
-    TIMEOUT = "timeout"
-
-
 class ClaimResult(Enum):
     """What became of the claim on an idempotency key.
 
--- /dev/null
+++ b/briarpond/routes/__init__.py
@@ -0,0 +1,31 @@
+"""What the operator's configuration allows: routes, services, tenants and limits."""
+
+from ._models import (
+    CallerLimits,
+    Configuration,
+    EngineSpec,
+    ModelName,
+    ModelSpec,
+    RequestKind,
+    Route,
+    ServiceSpec,
+    Tenant,
+    WeightedService,
+)
+from ._table import Match, RouteTable, choose_service
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "EngineSpec",
+    "Match",
+    "ModelName",
+    "ModelSpec",
+    "RequestKind",
+    "Route",
+    "RouteTable",
+    "ServiceSpec",
+    "Tenant",
+    "WeightedService",
+    "choose_service",
+]
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -18,8 +18,7 @@
 
 from briarpond.conf import Settings
 from briarpond.daemon._assembly import Assembly
-from briarpond.daemon._http_client import CallState, HttpCall
-from briarpond.net import Timer
+from briarpond.net import CallState, HttpCall, Timer
 from briarpond.peers import decode_frame, encode_frame
 from briarpond.ports import (
     EngineLoad,
