--- /dev/null
+++ b/briarpond/directory/_codec.py
@@ -0,0 +1,89 @@
+"""Thrift codec of heartbeats."""
+
+from expression import Error, Ok, Result
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
+
+from briarpond.ids import DataCentre, GroupId, InstanceId, NodeId
+from briarpond.net import Address
+from briarpond.routes import ModelName
+
+from ._models import Beat, DemandRow, Plan, PlanRow, ServerRow
+from .gen.beats import ttypes
+
+_MALFORMED = (TException, EOFError, TypeError, ValueError, AttributeError)
+
+
+def encode_beat(beat: Beat) -> bytes:
+    """Return the bytes of a heartbeat."""
+    buffer = TMemoryBuffer()
+    row = ttypes.Beat(
+        node=beat.node,
+        host=beat.callers.host,
+        port=beat.callers.port,
+        data_centre=beat.data_centre,
+        ready=beat.ready,
+        leaving=beat.leaving,
+        servers=[
+            ttypes.ServerRow(each.instance, each.in_flight, each.unread_tokens)
+            for each in beat.servers
+        ],
+        demand=[ttypes.DemandRow(each.model, each.groups) for each in beat.demand],
+        stalled=list(beat.stalled),
+        plan=None if beat.plan is None else _encode_plan(beat.plan),
+    )
+    row.write(TCompactProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def decode_beat(data: bytes) -> Result[Beat, str]:
+    """Read a heartbeat; the error says what cannot be read."""
+    row = ttypes.Beat()
+    try:
+        row.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
+        row.validate()
+        return Ok(_decode(row))
+    except _MALFORMED as exc:
+        return Error(repr(exc))
+
+
+def _encode_plan(plan: Plan) -> ttypes.Plan:
+    rows = [
+        ttypes.PlanRow(
+            row.group, row.epoch, row.model, row.head, row.address.host, row.address.port
+        )
+        for row in plan.groups
+    ]
+    return ttypes.Plan(plan.term, plan.sequence, rows)
+
+
+def _decode(row: ttypes.Beat) -> Beat:
+    return Beat(
+        node=NodeId(row.node),
+        callers=Address(row.host, row.port),
+        data_centre=DataCentre(row.data_centre),
+        ready=row.ready,
+        leaving=row.leaving,
+        servers=tuple(
+            ServerRow(InstanceId(each.instance), each.in_flight, each.unread_tokens)
+            for each in row.servers
+        ),
+        demand=tuple(DemandRow(ModelName(each.model), each.groups) for each in row.demand),
+        stalled=tuple(InstanceId(each) for each in row.stalled),
+        plan=None if row.plan is None else _decode_plan(row.plan),
+    )
+
+
+def _decode_plan(plan: ttypes.Plan) -> Plan:
+    rows = tuple(
+        PlanRow(
+            GroupId(row.group),
+            row.epoch,
+            ModelName(row.model),
+            InstanceId(row.head),
+            Address(row.host, row.port),
+        )
+        for row in plan.groups
+    )
+    return Plan(plan.term, plan.sequence, rows)
--- /dev/null
+++ b/briarpond/directory/_models.py
@@ -0,0 +1,64 @@
+"""Heartbeats between nodes."""
+
+import msgspec
+
+from briarpond.ids import DataCentre, GroupId, InstanceId, NodeId
+from briarpond.net import Address
+from briarpond.routes import ModelName
+
+
+class ServerRow(msgspec.Struct, frozen=True):
+    """Requests that a node has in flight at one server."""
+
+    instance: InstanceId
+    in_flight: int
+    unread_tokens: int
+
+
+class DemandRow(msgspec.Struct, frozen=True):
+    """Groups of a model that a node's requests would fill."""
+
+    model: ModelName
+    groups: float
+
+
+class PlanRow(msgspec.Struct, frozen=True):
+    """A group that serves, as the planner says."""
+
+    group: GroupId
+    epoch: int
+    model: ModelName
+    head: InstanceId
+    address: Address
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """All groups that serve; the highest term and sequence is the newest."""
+
+    term: int
+    sequence: int
+    groups: tuple[PlanRow, ...]
+
+
+class Beat(msgspec.Struct, frozen=True):
+    """Sign of life of a node, with what others need of it.
+
+    Attributes
+    ----------
+    callers : Address
+        Where the node takes callers' requests.
+    stalled : tuple of InstanceId
+        Heads whose running streams stand still.
+    plan : Plan or None
+        Set by the node that plans.
+    """
+
+    node: NodeId
+    callers: Address
+    data_centre: DataCentre
+    ready: bool
+    leaving: bool
+    servers: tuple[ServerRow, ...] = ()
+    demand: tuple[DemandRow, ...] = ()
+    stalled: tuple[InstanceId, ...] = ()
+    plan: Plan | None = None
--- /dev/null
+++ b/briarpond/directory/beats.thrift
@@ -0,0 +1,50 @@
+/*
+ * Heartbeats between nodes. Fields are only ever added, as optional.
+ *
+ * Regenerate: thrift --gen py:no_utf8strings=false -out briarpond/directory/gen briarpond/directory/beats.thrift
+ */
+namespace py beats
+
+/** Requests that the sender has in flight at one server. */
+struct ServerRow {
+  1: required string instance,
+  2: required i32 in_flight,
+  3: required i32 unread_tokens
+}
+
+/** Groups of a model that the sender's requests would fill. */
+struct DemandRow {
+  1: required string model,
+  2: required double groups
+}
+
+/** A group that serves, as the planner says. */
+struct PlanRow {
+  1: required string group,
+  2: required i64 epoch,
+  3: required string model,
+  4: required string head,
+  5: required string host,
+  6: required i32 port
+}
+
+/** Groups that serve; `sequence` rises within a term. */
+struct Plan {
+  1: required i64 term,
+  2: required i64 sequence,
+  3: required list<PlanRow> groups
+}
+
+/** Sign of life of a node. */
+struct Beat {
+  1: required string node,
+  2: required string host,
+  3: required i32 port,
+  4: required string data_centre,
+  5: required bool ready,
+  6: required bool leaving,
+  7: required list<ServerRow> servers,
+  8: required list<DemandRow> demand,
+  9: required list<string> stalled,
+  10: optional Plan plan
+}
--- /dev/null
+++ b/briarpond/directory/gen/beats/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/briarpond/gateway/_node.py
@@ -0,0 +1,305 @@
+"""One node on the users' platform: its parts, their schedule and the stop."""
+
+from collections.abc import Callable, Sequence
+
+from briarpond.directory import Beat, ServerRow
+from briarpond.ids import InstanceId
+from briarpond.logs import log_event, log_warning
+from briarpond.net import (
+    Address,
+    Clock,
+    Connector,
+    DirectPoller,
+    FaceLimits,
+    HttpClient,
+    HttpFace,
+    HttpReply,
+    HttpRequest,
+    TcpListener,
+)
+from briarpond.platform import (
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    INSTANCES_TOPIC,
+    Entry,
+    GatewaySettings,
+    decode_configuration,
+    decode_instance,
+    encode_addresses,
+    parse_address_query,
+)
+from briarpond.routes import Configuration, RouteTable
+
+from ._ingress import Ingress
+from ._lease import Lease
+from ._peers import PeerLink
+from ._planner_link import PlannerLink
+from ._registry import NodeRegistry
+from ._state import NodeState
+from ._store_link import Feed, StoreLink
+
+DIRECTORY_TTL_S = 1.0
+# Callers keep an answer of the directory up to three times its lifetime.
+SERVE_ON_S = 3.2
+# Before the process is killed, what is still under way is ended.
+LAST_WORD_S = 0.5
+INSTANCES_PACE_S = 0.5
+PLANNER_PACE_S = 0.05
+HOUSEKEEPING_S = 1.0
+STOP_EVERY_S = 0.05
+READY_PATH = "/readyz"
+METRICS_PATH = "/metrics"
+
+
+class Node:
+    """The parts of one node, put together.
+
+    Parameters
+    ----------
+    on_stopped : callable
+        Called once when the node has nothing left to do.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        poller: DirectPoller,
+        connector: Connector,
+        on_stopped: Callable[[], None],
+    ) -> None:
+        client = HttpClient(connector, clock)
+        self.state = NodeState(settings, clock, client)
+        self._settings = settings
+        self._clock = clock
+        self._on_stopped = on_stopped
+        self._stop_at: float | None = None
+        self._store = StoreLink(settings.store.address, client)
+        self._config_feed = Feed(self._store, clock, CONFIG_TOPIC, self._on_config, self._on_config)
+        self._instances_feed = Feed(
+            self._store,
+            clock,
+            INSTANCES_TOPIC,
+            self._on_instances_snapshot,
+            self._on_instances,
+            self._instances_pace,
+            self._on_store_regained,
+        )
+        peer_address = Address(settings.host, settings.peer_port)
+        self._peers = PeerLink(
+            clock, poller, peer_address, settings.node, self._beat, self._on_beat
+        )
+        clock += self._peers
+        self._registry = NodeRegistry(self._store, clock, settings, self._peers.set_nodes)
+        self._lease = Lease(self._store, clock, settings.node, settings.store.lease_ttl_min_s)
+        self._planner = PlannerLink(self.state, self._lease, self._peers)
+        self._stalled: dict[InstanceId, float] = {}
+        self.ingress = Ingress(self.state, self._config_feed.age, self._on_stalled)
+        self._face = HttpFace(clock, self.ingress.handle)
+        self._listeners = [
+            TcpListener(settings.callers, clock, poller, connector, self._face.accept)
+        ]
+        side_faces = {settings.readiness: HttpFace(clock, self._answer_side)}
+        if settings.directory is not None:
+            side_faces.setdefault(settings.directory, HttpFace(clock, self._answer_side))
+        for address, face in side_faces.items():
+            self._listeners.append(TcpListener(address, clock, poller, connector, face.accept))
+        for listener in self._listeners:
+            clock += listener
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.state.config is not None and not self.state.leaving
+
+    def start(self) -> None:
+        """Schedule everything."""
+        self._config_feed.start()
+        self._instances_feed.start()
+        self._registry.start()
+        self._peers.start()
+        self._lease.start()
+        self._planner.start()
+        self.ingress.start()
+        self._clock.every(HOUSEKEEPING_S, self._housekeep)
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take settings that changed; addresses are bound until the next start."""
+        self._settings = settings
+        self.state.settings = settings
+
+    def begin_stop(self) -> None:
+        """Leave the directory at once, serve on for a while, then end."""
+        if self._stop_at is not None:
+            return
+        now = self._clock.now()
+        self._stop_at = now
+        self.state.leaving = True
+        log_event("stop_begins", in_flight=self.ingress.in_flight)
+        self._lease.stop()
+        self._registry.leave()
+        self._peers.send_now()
+        self._face.closing = True
+        self._clock.every(STOP_EVERY_S, self._drive_stop)
+
+    # Stop
+
+    def _drive_stop(self) -> None:
+        assert self._stop_at is not None
+        elapsed = self._clock.now() - self._stop_at
+        if elapsed < SERVE_ON_S:
+            return
+        self.ingress.refusing = True
+        self._face.close_idle()
+        over = elapsed > self._settings.bounds.stop_s - LAST_WORD_S
+        if over:
+            self.ingress.give_up_all()
+        if self.ingress.in_flight == 0 or over:
+            self._on_stopped()
+
+    # Configuration
+
+    def _on_config(self, entries: Sequence[Entry]) -> None:
+        for entry in entries:
+            if entry.key == CONFIG_KEY and entry.value is not None:
+                self._take_config(entry)
+
+    def _take_config(self, entry: Entry) -> None:
+        assert entry.value is not None
+        decoded = decode_configuration(entry.value)
+        if decoded.is_error():
+            log_warning("config_unreadable", offset=entry.offset, error=decoded.error)
+            return
+        config: Configuration = decoded.ok
+        known = self.state.config
+        if known is not None and config.version <= known.version:
+            return
+        self.state.table = RouteTable(config)
+        limits = config.limits
+        self._face.limits = FaceLimits(
+            limits.header_bytes, limits.body_bytes, limits.header_s, limits.idle_s
+        )
+        self.state.metrics.config_version.set({}, config.version)
+        log_event(
+            "config_in_force",
+            version=config.version,
+            routes=len(config.routes),
+            tenants=len(config.tenants),
+            offset=entry.offset,
+        )
+
+    # Instances
+
+    def _on_instances_snapshot(self, entries: Sequence[Entry]) -> None:
+        now = self._clock.now()
+        instances = []
+        for entry in entries:
+            if entry.value is None:
+                continue
+            decoded = decode_instance(entry.key, entry.value)
+            if decoded.is_ok():
+                instances.append(decoded.ok)
+            else:
+                log_warning("instance_unreadable", key=entry.key, error=decoded.error)
+        self.state.fleet.replace_all(instances, now)
+        log_event("instances_read", count=len(instances))
+        self.ingress.wake()
+
+    def _on_instances(self, entries: Sequence[Entry]) -> None:
+        now = self._clock.now()
+        for entry in entries:
+            self._take_instance(entry, now)
+        if self._planner.planning:
+            self._planner.step()
+        self.ingress.wake()
+
+    def _take_instance(self, entry: Entry, now: float) -> None:
+        fleet = self.state.fleet
+        instance = InstanceId(entry.key)
+        if entry.value is None:
+            fleet.remove(instance, now)
+            log_event("instance_removed", instance=instance, offset=entry.offset)
+            return
+        decoded = decode_instance(entry.key, entry.value)
+        if decoded.is_error():
+            log_warning("instance_unreadable", key=entry.key, error=decoded.error)
+            return
+        known = fleet.get(instance)
+        fleet.put(decoded.ok, now)
+        if known is None or known.state is not decoded.ok.state:
+            log_event(
+                "instance",
+                instance=instance,
+                state=decoded.ok.state.value,
+                domain=decoded.ok.domain,
+                offset=entry.offset,
+            )
+
+    def _instances_pace(self) -> float:
+        return PLANNER_PACE_S if self._planner.planning else INSTANCES_PACE_S
+
+    def _on_store_regained(self) -> None:
+        self.state.fleet.outage_ended(self._clock.now())
+
+    # Nodes
+
+    def _beat(self) -> Beat:
+        state = self.state
+        now = self._clock.now()
+        return Beat(
+            node=self._settings.node,
+            callers=self._settings.callers,
+            data_centre=self._settings.data_centre,
+            ready=self.ready,
+            leaving=state.leaving,
+            servers=tuple(ServerRow(*row) for row in state.loads.own_rows()),
+            demand=state.demand(now),
+            stalled=tuple(self._stalled),
+            plan=self._planner.plan(),
+        )
+
+    def _on_beat(self, beat: Beat) -> None:
+        self.state.take_beat(beat, self._clock.now())
+        for server in beat.stalled:
+            self._planner.check(server)
+        if beat.plan is not None:
+            self.ingress.wake()
+
+    def _on_stalled(self, server: InstanceId) -> None:
+        self._stalled[server] = self._clock.now()
+        if self._planner.planning:
+            self._planner.check(server)
+        self._peers.send_now()
+        self._stalled.pop(server, None)
+
+    # Directory, readiness and metrics
+
+    def _answer_side(self, request: HttpRequest, reply: HttpReply) -> None:
+        path = request.target.split("?", 1)[0]
+        if path == READY_PATH:
+            reply.whole(200 if self.ready else 503, (), b"")
+            return
+        if path == METRICS_PATH:
+            body, headers = self.state.metrics.render(request.header("accept"))
+            reply.whole(200, tuple(headers.items()), body)
+            return
+        query = parse_address_query(request.target)
+        if query is None:
+            reply.whole(404, (), b"")
+            return
+        now = self._clock.now()
+        addresses = self._peers.book.addresses(self._beat(), query.data_centre, self.state.rng, now)
+        if not addresses:
+            reply.whole(503, (), b"")
+            return
+        ttl = min(DIRECTORY_TTL_S, self._settings.bounds.directory_ttl_max_s)
+        content = (("Content-Type", "application/json"),)
+        reply.whole(200, content, encode_addresses(addresses, ttl))
+
+    def _housekeep(self) -> None:
+        state = self.state
+        now = self._clock.now()
+        state.nodes = self._peers.book.count(now)
+        self._peers.book.forget(now)
+        state.fleet.settle(now)
+        state.loads.forget({row.id for row in state.fleet.all()})
--- /dev/null
+++ b/briarpond/gateway/_planner_link.py
@@ -0,0 +1,261 @@
+"""Carries out the planner's orders while this node holds the lease."""
+
+from briarpond.directory import Plan, PlanRow
+from briarpond.ids import InstanceId, ServiceName
+from briarpond.logs import log_event, log_warning
+from briarpond.net import Exchange, LossReason
+from briarpond.placement import LoadBudget, Order, OrderKind, PlannedGroup, Planner, Stage
+from briarpond.platform import (
+    ORDER_TARGET,
+    REPORT_TARGET,
+    decode_report,
+    encode_close,
+    encode_join,
+    encode_leave,
+    encode_open,
+)
+from briarpond.routes import ModelName, ServiceSpec
+
+from ._lease import Lease
+from ._peers import PeerLink
+from ._state import NodeState
+
+STEP_S = 0.1
+ORDER_TIMEOUT_S = 0.4
+PROBE_TIMEOUT_S = 0.3
+# Probes in a row without an answer after which an instance counts as lost.
+PROBES_MISSED = 2
+PROBE_LOST_EVERY_S = 1.0
+JSON = (("Content-Type", "application/json"),)
+
+
+class PlannerLink:
+    """Runs one planner per service of groups while the lease is held."""
+
+    def __init__(self, state: NodeState, lease: Lease, peers: PeerLink) -> None:
+        self._state = state
+        self._lease = lease
+        self._peers = peers
+        self._planners: dict[ServiceName, Planner] = {}
+        self._sequence = 0
+        self._told: tuple[PlanRow, ...] = ()
+        self._probing: dict[InstanceId, Exchange] = {}
+        self._probed_at: dict[InstanceId, float] = {}
+        self._term = 0
+        self._stages: dict[str, Stage] = {}
+
+    @property
+    def planning(self) -> bool:
+        """Whether this node plans at present."""
+        return bool(self._planners)
+
+    def start(self) -> None:
+        """Begin to look at the lease."""
+        self._state.clock.every(STEP_S, self.step)
+
+    def plan(self) -> Plan | None:
+        """Return what the other nodes are told, while this node plans."""
+        if not self._planners:
+            return None
+        return Plan(self._term, self._sequence, self._told)
+
+    def check(self, server: InstanceId) -> None:
+        """A head stands still: find out which member is lost."""
+        for planner in self._planners.values():
+            for group in planner.groups.values():
+                if server in group.members:
+                    for member in group.members:
+                        self._probe(planner, member, 0)
+
+    def step(self) -> None:
+        """Plan, if this node holds the lease."""
+        state = self._state
+        now = state.clock.now()
+        config = state.config
+        if config is None or state.leaving or not self._holds(now):
+            self._stop_planning()
+            return
+        for spec in config.services.values():
+            if spec.engine is not None and spec.engine.models:
+                self._step_service(spec, now)
+        self._tell(now)
+
+    def _holds(self, now: float) -> bool:
+        if self._lease.holds(now):
+            if self._planners and self._lease.term != self._term:
+                # The lease changed hands in between: what was planned is read anew.
+                self._stop_planning()
+            return True
+        # While nobody reaches the store, whoever planned goes on.
+        return bool(self._planners) and self._lease.lapsed_holding(now) and not self._outbid()
+
+    def _outbid(self) -> bool:
+        plan = self._state.plan
+        return plan is not None and plan.term > self._term
+
+    def _stop_planning(self) -> None:
+        if self._planners:
+            log_event("planner_stop", term=self._term)
+            self._planners.clear()
+            self._stages.clear()
+
+    def _step_service(self, spec: ServiceSpec, now: float) -> None:
+        planner = self._planners.get(spec.name) or self._begin(spec, now)
+        state = self._state
+        planner.update([row for row in state.fleet.all() if row.service == spec.name], now)
+        for instance, since in list(planner.lost.items()):
+            if state.fleet.get(instance) is None:
+                continue
+            if now - max(since, self._probed_at.get(instance, since)) > PROBE_LOST_EVERY_S:
+                self._probe(planner, instance, 0)
+        for order in planner.step(self._demand(now), now):
+            self._send(planner, order)
+        self._log_stages(planner)
+
+    def _begin(self, spec: ServiceSpec, now: float) -> Planner:
+        assert spec.engine is not None
+        bounds = self._state.settings.bounds
+        self._term = self._lease.term
+        engine = spec.engine
+        loads = LoadBudget(engine.loads_per_s, engine.loads_at_once, bounds.loads_window_s)
+        planner = Planner(self._term, engine, loads, bounds.stall_s)
+        self._planners[spec.name] = planner
+        log_event("planner_start", term=self._term, service=spec.name)
+        return planner
+
+    def _demand(self, now: float) -> dict[ModelName, float]:
+        sums: dict[ModelName, float] = {}
+        rows = list(self._state.demand(now))
+        for beat in self._peers.book.living(now):
+            rows += beat.demand
+        for row in rows:
+            sums[row.model] = sums.get(row.model, 0.0) + row.groups
+        return sums
+
+    def _tell(self, now: float) -> None:
+        rows = tuple(
+            row
+            for planner in self._planners.values()
+            for group in planner.serving(now)
+            if (row := self._row(group)) is not None
+        )
+        if rows != self._told or self._sequence == 0:
+            self._told = rows
+            self._sequence += 1
+            self._state.metrics.groups.set({}, len(rows))
+            self._state.take_plan(Plan(self._term, self._sequence, rows), now)
+            self._peers.send_now()
+        self._state.take_plan(Plan(self._term, self._sequence, rows), now)
+
+    def _row(self, group: PlannedGroup) -> PlanRow | None:
+        head = self._state.fleet.get(group.head)
+        if head is None:
+            return None
+        return PlanRow(group.id, group.epoch, group.model, group.head, head.address)
+
+    def _send(self, planner: Planner, order: Order) -> None:
+        clock = self._state.clock
+
+        def done(status: int, body: bytes) -> None:
+            self._state.metrics.orders.inc({"kind": order.kind.value, "status": str(status)})
+            log_event(
+                "order_answer",
+                kind=order.kind.value,
+                instance=order.instance,
+                group=order.group,
+                epoch=order.epoch,
+                status=status,
+                answer=body[:80].decode("latin-1"),
+            )
+            planner.on_answer(order, status, clock.now())
+
+        def lost(reason: LossReason) -> None:
+            self._state.metrics.orders.inc({"kind": order.kind.value, "status": "none"})
+            log_warning(
+                "order_unanswered",
+                kind=order.kind.value,
+                instance=order.instance,
+                group=order.group,
+                epoch=order.epoch,
+                reason=reason.value,
+            )
+            planner.on_answer(order, None, clock.now())
+            self._probe(planner, order.instance, 0)
+
+        self._state.client.fetch(
+            order.address,
+            "POST",
+            ORDER_TARGET,
+            JSON,
+            _encode(order),
+            ORDER_TIMEOUT_S,
+            done,
+            lost,
+        )
+
+    def _probe(self, planner: Planner, instance: InstanceId, missed: int) -> None:
+        """Ask an instance for its report; lost once it has missed some in a row."""
+        row = self._state.fleet.get(instance)
+        if row is None or instance in self._probing:
+            return
+        self._probed_at[instance] = self._state.clock.now()
+
+        def done(status: int, body: bytes) -> None:
+            self._probing.pop(instance, None)
+            if status != 200:
+                return
+            report = decode_report(body)
+            if instance in planner.lost:
+                log_event("instance_back", instance=instance)
+            planner.mark_alive(instance)
+            if report.is_ok():
+                planner.mark_slow(instance, report.ok.pace > SLOW_PACE)
+
+        def lost(reason: LossReason) -> None:
+            self._probing.pop(instance, None)
+            if missed + 1 < PROBES_MISSED:
+                self._probe(planner, instance, missed + 1)
+                return
+            if instance not in planner.lost:
+                log_warning("instance_lost", instance=instance, reason=reason.value)
+            planner.mark_lost(instance, self._state.clock.now())
+
+        self._probing[instance] = self._state.client.fetch(
+            row.address, "GET", REPORT_TARGET, (), b"", PROBE_TIMEOUT_S, done, lost
+        )
+
+    def _log_stages(self, planner: Planner) -> None:
+        present = {}
+        for group in planner.groups.values():
+            present[group.id] = group.stage
+            if self._stages.get(group.id) is not group.stage:
+                log_event(
+                    "group",
+                    group=group.id,
+                    epoch=group.epoch,
+                    model=group.model,
+                    stage=group.stage.value,
+                    members="+".join(group.members),
+                )
+        for name in self._stages:
+            if name not in present:
+                log_event("group", group=name, stage="dissolved")
+        self._stages = present
+
+
+# An instance that works this many times slower holds up its whole group.
+SLOW_PACE = 1.8
+
+
+def _encode(order: Order) -> bytes:
+    match order.kind:
+        case OrderKind.JOIN:
+            return encode_join(order.group, order.epoch, order.model, order.members)
+        case OrderKind.OPEN:
+            return encode_open(order.group, order.epoch)
+        case OrderKind.LEAVE:
+            return encode_leave(order.group, order.epoch)
+        case OrderKind.CLOSE_WAIT:
+            return encode_close(order.group, order.epoch, wait=True)
+        case OrderKind.CLOSE_CUT:
+            return encode_close(order.group, order.epoch, wait=False)
--- a/briarpond/platform/__init__.py
+++ b/briarpond/platform/__init__.py
@@ -22,7 +22,7 @@
     encode_open,
     encode_stage,
 )
-from ._settings import GatewaySettings, StoreSettings, load_gateway_settings
+from ._settings import GatewaySettings, StoreSettings, load_gateway_settings, settings_path
 from ._store import (
     CONFIG_KEY,
     CONFIG_TOPIC,
@@ -88,4 +88,5 @@
     "parse_token_counts",
     "read_newest",
     "read_records",
+    "settings_path",
 ]
--- a/briarpond/platform/_settings.py
+++ b/briarpond/platform/_settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file, translated and checked."""
 
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -153,6 +154,12 @@
         return Error(SettingsProblem("gateway.E003", f"Bad settings: {exc}.", hint))
 
 
+def settings_path(environ: Mapping[str, str]) -> Path | None:
+    """Return the path of the settings file that the environment names."""
+    path = environ.get("BRIARPOND_SETTINGS")
+    return Path(path) if path else None
+
+
 _LOADER: Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
