Planner: group numbers are never used twice, loads are taken whole

Cause (run log): a read of the list changed the planner's groups while they were walked, which ended the process; the new process kept its lease and numbered its groups anew, so instances rejected its joins (41 x 412); a group whose loads did not all fit the window used up the budget without loading. Change: copies are walked; a process is a lease member of its own and numbers run on; the budget is taken for the whole group, and not counted before callers come.

--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -26,7 +26,8 @@
         self.term = 0
         self._store = store
         self._clock = clock
-        self._node = node
+        # A restarted process is another member, so that its term is a new one.
+        self._member = f"{node}.{int(clock.now() * 1000)}"
         self._ttl_s = max(ttl_min_s, 3 * RENEW_S)
         self._granted_at = float("-inf")
         self._holds = False
@@ -40,7 +41,7 @@
         """Give the lease up."""
         self._stopped = True
         self._holds = False
-        self._store.call(leave_lease(self._node), CALL_TIMEOUT_S, self._left, self._not_left)
+        self._store.call(leave_lease(self._member), CALL_TIMEOUT_S, self._left, self._not_left)
 
     def holds(self, now: float) -> bool:
         """Whether this node holds the lease now."""
@@ -54,7 +55,7 @@
         if self._stopped:
             return
         asked_at = self._clock.now()
-        call = join_lease(self._node, self._ttl_s, self.term)
+        call = join_lease(self._member, self._ttl_s, self.term)
         self._store.call(
             call,
             CALL_TIMEOUT_S,
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -1,5 +1,7 @@
 """Carries out the planner's orders while this node holds the lease."""
 
+import itertools
+
 from briarpond.directory import Plan, PlanRow
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.logs import log_event, log_warning
@@ -42,6 +44,7 @@
         self._probing: dict[InstanceId, Exchange] = {}
         self._probed_at: dict[InstanceId, float] = {}
         self._term = 0
+        self._numbers = itertools.count(1)
         self._stages: dict[str, Stage] = {}
 
     @property
@@ -118,7 +121,7 @@
         self._term = self._lease.term
         engine = spec.engine
         loads = LoadBudget(engine.loads_per_s, engine.loads_at_once, bounds.loads_window_s)
-        planner = Planner(self._term, engine, loads, bounds.stall_s)
+        planner = Planner(self._term, engine, loads, bounds.stall_s, self._numbers)
         self._planners[spec.name] = planner
         log_event("planner_start", term=self._term, service=spec.name)
         return planner
--- a/briarpond/placement/_loads.py
+++ b/briarpond/placement/_loads.py
@@ -14,19 +14,27 @@
         Loads that run at full speed side by side.
     window_s : float
         Window over which the limit is enforced.
+
+    Attributes
+    ----------
+    counts : bool
+        Whether callers' requests have begun; before, loads are not limited.
     """
 
     def __init__(self, per_s: float, at_once: int, window_s: float) -> None:
+        self.counts = False
         self._most = max(1, int(per_s * window_s))
         self._at_once = at_once
         self._window_s = window_s
         self._started: deque[float] = deque()
 
-    def take(self, running: int, now: float) -> bool:
-        """Whether one more load may start now, beside `running` others."""
+    def take(self, count: int, running: int, now: float) -> bool:
+        """Whether `count` more loads may start now, beside `running` others."""
         while self._started and self._started[0] <= now - self._window_s:
             self._started.popleft()
-        if running >= self._at_once or len(self._started) >= self._most:
+        if running >= self._at_once:
+            return False
+        if self.counts and len(self._started) + count > self._most:
             return False
-        self._started.append(now)
+        self._started.extend([now] * count)
         return True
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -12,7 +12,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from briarpond.fleet import Group, Instance, InstanceState, MemberState, groups_of
 from briarpond.ids import FabricDomain, GroupId, InstanceId
@@ -43,16 +43,25 @@
         Number of the lease; higher than that of any earlier planner.
     stall_s : float
         How long a group that lost a member may stand still before it breaks.
+    numbers : iterator of int
+        Rising numbers that no planner of this process has used before.
     """
 
-    def __init__(self, term: int, engine: EngineSpec, loads: LoadBudget, stall_s: float) -> None:
+    def __init__(
+        self,
+        term: int,
+        engine: EngineSpec,
+        loads: LoadBudget,
+        stall_s: float,
+        numbers: Iterator[int],
+    ) -> None:
         self.term = term
         self.groups: dict[GroupId, PlannedGroup] = {}
         self.lost: dict[InstanceId, float] = {}
         self._engine = engine
         self._loads = loads
         self._stall_s = stall_s
-        self._count = 0
+        self._numbers = numbers
         self._blocked_until: dict[InstanceId, float] = {}
         self._unanswered: dict[InstanceId, float] = {}
         self._last_model: dict[InstanceId, ModelName] = {}
@@ -70,7 +79,7 @@
             if instance.model is not None:
                 self._last_model[instance.id] = instance.model
         self._adopt(now)
-        for group in self.groups.values():
+        for group in list(self.groups.values()):
             self._notice_members(group, now)
 
     def mark_lost(self, instance: InstanceId, now: float) -> None:
@@ -123,6 +132,7 @@
         demand : mapping
             Groups of each model that callers' requests would fill.
         """
+        self._loads.counts = self._loads.counts or bool(demand)
         orders: list[Order] = []
         for group in list(self.groups.values()):
             orders += self._drive(group, now)
@@ -425,8 +435,7 @@
 
     def _may_load(self, rows: list[Instance], spec: ModelSpec, now: float) -> bool:
         """Whether a group whose members must load first is worth it, and allowed."""
-        running = self._loading()
-        return all(self._loads.take(running + place, now) for place in range(len(rows)))
+        return self._loads.take(len(rows), self._loading(), now)
 
     def _loading(self) -> int:
         """Return how many instances load from the weight store at present."""
@@ -461,7 +470,7 @@
                 if spec is None:
                     return
                 needs_load = spec.name not in row.staged
-                if needs_load and not self._loads.take(self._loading(), now):
+                if needs_load and not self._loads.take(1, self._loading(), now):
                     return
                 self._last_model[row.id] = spec.name
                 self._add(spec, (row.id,), Stage.PREPARING, now)
@@ -490,7 +499,7 @@
     def _add(
         self, spec: ModelSpec, members: tuple[InstanceId, ...], stage: Stage, now: float
     ) -> None:
-        self._count += 1
-        name = GroupId(f"g{self.term}-{self._count}")
-        epoch = self.term * EPOCHS_PER_TERM + self._count
+        number = next(self._numbers)
+        name = GroupId(f"g{self.term}-{number}")
+        epoch = self.term * EPOCHS_PER_TERM + number
         self.groups[name] = PlannedGroup(name, epoch, spec.name, members, stage, now)
