No joins on a stale view; a reset is no end of an answer; loads of another planner count

Change: a planner begins 1 s after it got the lease and only on a list read after that; a kept lease under a new term keeps its planner; accepted joins are not sent again before they are due; connections know that they were reset; a planner that follows another takes the window of loads to be spent.

--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -20,10 +20,13 @@
     ----------
     term : int
         Number of the lease; it rises with each change of holders.
+    held_since : float
+        When this node last became the holder.
     """
 
     def __init__(self, store: StoreLink, clock: Clock, node: NodeId, ttl_min_s: float) -> None:
         self.term = 0
+        self.held_since = float("inf")
         self._store = store
         self._clock = clock
         # A restarted process is another member, so that its term is a new one.
@@ -70,10 +73,12 @@
             return
         if self._stopped:
             return
-        held = self._holds
+        held = self.holds(self._clock.now())
         self.term = max(self.term, answer.ok.term)
         self._holds = answer.ok.holds
         self._granted_at = asked_at
+        if self._holds and not held:
+            self.held_since = self._clock.now()
         if held != self._holds:
             log_event("lease", holds=self._holds, term=self.term)
 
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -92,7 +92,9 @@
         clock += self._peers
         self._registry = NodeRegistry(self._store, clock, settings, self._peers.set_nodes)
         self._lease = Lease(self._store, clock, settings.node, settings.store.lease_ttl_min_s)
-        self._planner = PlannerLink(self.state, self._lease, self._peers)
+        self._planner = PlannerLink(
+            self.state, self._lease, self._peers, lambda: self._instances_feed.fresh_at
+        )
         self._stalled: dict[InstanceId, float] = {}
         self.ingress = Ingress(self.state, self._config_feed.age, self._on_stalled)
         self._face = HttpFace(clock, self.ingress.handle)
@@ -236,7 +238,8 @@
             )
 
     def _instances_pace(self) -> float:
-        return PLANNER_PACE_S if self._planner.planning else INSTANCES_PACE_S
+        plans = self._planner.planning or self._lease.holds(self._clock.now())
+        return PLANNER_PACE_S if plans else INSTANCES_PACE_S
 
     def _on_store_regained(self) -> None:
         self.state.fleet.outage_ended(self._clock.now())
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -1,6 +1,7 @@
 """Carries out the planner's orders while this node holds the lease."""
 
 import itertools
+from collections.abc import Callable
 
 from briarpond.directory import Plan, PlanRow
 from briarpond.ids import InstanceId, ServiceName
@@ -23,6 +24,8 @@
 from ._state import NodeState
 
 STEP_S = 0.1
+# An earlier planner acts for so long after the lease has gone to another.
+TAKE_OVER_S = 1.0
 ORDER_TIMEOUT_S = 0.4
 PROBE_TIMEOUT_S = 0.3
 # Probes in a row without an answer after which an instance counts as lost.
@@ -34,8 +37,15 @@
 class PlannerLink:
     """Runs one planner per service of groups while the lease is held."""
 
-    def __init__(self, state: NodeState, lease: Lease, peers: PeerLink) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        lease: Lease,
+        peers: PeerLink,
+        view_fresh_at: Callable[[], float | None],
+    ) -> None:
         self._state = state
+        self._view_fresh_at = view_fresh_at
         self._lease = lease
         self._peers = peers
         self._planners: dict[ServiceName, Planner] = {}
@@ -85,13 +95,26 @@
 
     def _holds(self, now: float) -> bool:
         if self._lease.holds(now):
-            if self._planners and self._lease.term != self._term:
-                # The lease changed hands in between: what was planned is read anew.
-                self._stop_planning()
-            return True
+            if self._planners:
+                self._renew()
+                return True
+            return self._took_over(now)
         # While nobody reaches the store, whoever planned goes on.
         return bool(self._planners) and self._lease.lapsed_holding(now) and not self._outbid()
 
+    def _took_over(self, now: float) -> bool:
+        """Whether the planner before this one has surely stopped, and its work is seen."""
+        began = self._lease.held_since
+        seen = self._view_fresh_at()
+        return now - began >= TAKE_OVER_S and seen is not None and seen >= began + TAKE_OVER_S
+
+    def _renew(self) -> None:
+        if self._lease.term == self._term:
+            return
+        self._term = self._lease.term
+        for planner in self._planners.values():
+            planner.renew(self._term)
+
     def _outbid(self) -> bool:
         plan = self._state.plan
         return plan is not None and plan.term > self._term
@@ -121,6 +144,8 @@
         self._term = self._lease.term
         engine = spec.engine
         loads = LoadBudget(engine.loads_per_s, engine.loads_at_once, bounds.loads_window_s)
+        if self._state.plan is not None:
+            loads.spend_all(now)
         planner = Planner(self._term, engine, loads, bounds.stall_s, self._numbers)
         self._planners[spec.name] = planner
         log_event("planner_start", term=self._term, service=spec.name)
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 calls over outgoing connections, framed by h11."""
 
+import contextlib
 import re
 from collections import defaultdict, deque
 from collections.abc import Callable
@@ -140,11 +141,11 @@
         if not established:
             self._lose(LossReason.CONNECT_FAILED)
             return
-        try:
-            self._h11.receive_data(b"")
-            self._drain_events()
-        except h11.RemoteProtocolError:
-            pass
+        if self._conn is None or not self._conn.was_reset:
+            # An answer without a length is whole if its connection ended in good order.
+            with contextlib.suppress(h11.RemoteProtocolError):
+                self._h11.receive_data(b"")
+                self._drain_events()
         if self.state is not CallState.ENDED:
             self._lose(LossReason.CONNECTION_LOST)
 
--- a/briarpond/net/_outbound.py
+++ b/briarpond/net/_outbound.py
@@ -46,6 +46,8 @@
         self.established = False
         self.closed = False
         self.calls = 0
+        # Whether the other side broke the connection instead of ending it.
+        self.was_reset = False
         self.sock = sock
         self.buffer = bytearray()
         self.connect_timer: Timer | None = None
@@ -174,6 +176,7 @@
         except BlockingIOError:
             return
         except OSError:
+            conn.was_reset = True
             self._lose(conn)
             return
         if not data:
@@ -198,6 +201,7 @@
     def _on_disconnect(self, sock: socket.socket) -> None:
         conn = self._connections.get(sock)
         if conn is not None:
+            conn.was_reset = True
             self._lose(conn)
 
     def _establish(self, conn: Connection) -> bool:
@@ -223,6 +227,7 @@
             return data
         except OSError:
             # The loss is told from the loop, never from within a send.
+            conn.was_reset = True
             self._clock.after(0.0, lambda: self._lose(conn))
             return b""
 
--- a/briarpond/placement/_models.py
+++ b/briarpond/placement/_models.py
@@ -59,6 +59,10 @@
         From when an opened group serves.
     last_order : dict
         When each member was last sent the order of this stage.
+    due : dict
+        From when a member's accepted join counts as overdue.
+    cut : bool
+        Whether closing ends running requests, because a member is lost.
     """
 
     id: GroupId
@@ -70,6 +74,7 @@
     ready: set[InstanceId] = msgspec.field(default_factory=set)
     opens_at: float = 0.0
     last_order: dict[InstanceId, float] = msgspec.field(default_factory=dict)
+    due: dict[InstanceId, float] = msgspec.field(default_factory=dict)
     cut: bool = True
 
     @property
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -26,6 +26,10 @@
 RESEND_S = 0.5
 # Extra time for a member to become ready, beyond what its join should take.
 JOIN_PATIENCE_S = 2.5
+# The list shows a change this much later at the most.
+RELEASED_S = 2.0
+# An accepted join is asked for again only this long after it should be done.
+JOIN_OVERDUE_S = 1.0
 # Orders that an instance left unanswered may be carried out this much later.
 LATE_ORDER_S = 12.0
 STALL_MARGIN_S = 0.4
@@ -68,6 +72,7 @@
         self._born: dict[InstanceId, int] = {}
         self._instances: dict[InstanceId, Instance] = {}
         self._slow: set[InstanceId] = set()
+        self._released: dict[tuple[GroupId, int], float] = {}
 
     # What the planner is told
 
@@ -82,6 +87,10 @@
         for group in list(self.groups.values()):
             self._notice_members(group, now)
 
+    def renew(self, term: int) -> None:
+        """The lease was kept under a new term: later epochs start with it."""
+        self.term = max(self.term, term)
+
     def mark_lost(self, instance: InstanceId, now: float) -> None:
         """An instance does not answer any more."""
         self.lost[instance] = now
@@ -118,7 +127,7 @@
             self._on_open_answer(group, status, now)
         elif order.kind in (OrderKind.CLOSE_CUT, OrderKind.CLOSE_WAIT):
             if status in (200, 409, 421):
-                self._release(group)
+                self._release(group, now)
         elif order.kind is OrderKind.LEAVE and group.stage is Stage.HEAD_LOST:
             self._blocked_until[order.instance] = now + self._stall_s + STALL_MARGIN_S
 
@@ -199,14 +208,17 @@
         broken = state is MemberState.BROKEN and (serving or closing)
         closed = state is MemberState.READY and closing and bool(group.last_order)
         if broken or closed:
-            self._release(group)
+            self._release(group, now)
 
     def _adopt(self, now: float) -> None:
-        """Take over groups that an earlier planner opened."""
+        """Take over groups that serve and that this planner does not keep."""
         for group in groups_of(self._instances.values()):
-            if group.id in self.groups or group.epoch >= self.term * EPOCHS_PER_TERM:
+            if group.id in self.groups:
+                continue
+            if group.state not in (MemberState.OPEN, MemberState.CLOSING):
                 continue
-            if group.state in (MemberState.OPEN, MemberState.CLOSING):
+            # What was just let go is still listed as it was a moment ago.
+            if now - self._released.get((group.id, group.epoch), -RELEASED_S) >= RELEASED_S:
                 self._adopt_open(group, now)
 
     def _adopt_open(self, group: Group, now: float) -> None:
@@ -217,7 +229,8 @@
         planned.opens_at = now
         self.groups[group.id] = planned
         whole = spec is not None and len(group.members) == spec.size
-        if group.state is MemberState.CLOSING or not whole:
+        let_go = (group.id, group.epoch) in self._released
+        if group.state is MemberState.CLOSING or not whole or let_go:
             self._begin_close(planned, True, now)
 
     # One group
@@ -266,7 +279,11 @@
                 return []
             group.enter(Stage.OPENING, now)
             return self._repeat(group, (group.head,), OrderKind.OPEN, now)
-        waiting = tuple(member for member in group.members if member not in group.ready)
+        waiting = tuple(
+            member
+            for member in group.members
+            if member not in group.ready and now >= group.due.get(member, 0.0)
+        )
         return self._repeat(group, waiting, OrderKind.JOIN, now)
 
     def _join_limit(self, group: PlannedGroup, spec: ModelSpec | None) -> float:
@@ -277,7 +294,7 @@
 
     def _abandon(self, group: PlannedGroup, now: float) -> None:
         """Give up a group that was never opened; whoever did not answer rests."""
-        del self.groups[group.id]
+        self._release(group, now)
         for member in group.members:
             if now - self._unanswered.get(member, -LATE_ORDER_S) < LATE_ORDER_S:
                 self._blocked_until[member] = now + RESEND_S
@@ -304,9 +321,10 @@
             return []
         return self._repeat(group, others, OrderKind.LEAVE, now)
 
-    def _release(self, group: PlannedGroup) -> None:
+    def _release(self, group: PlannedGroup, now: float) -> None:
         """The head does not serve any more: its members are free."""
         self.groups.pop(group.id, None)
+        self._released[group.id, group.epoch] = now
 
     def _on_join_answer(self, group: PlannedGroup, order: Order, status: int, now: float) -> None:
         if status == 200:
@@ -314,9 +332,15 @@
         elif status in (412, 421) and group.stage in (Stage.JOINING, Stage.PREPARING):
             self._abandon(group, now)
             self._blocked_until[order.instance] = now + RESEND_S
+        if status == 202:
+            group.due[order.instance] = now + self._due_s(order) + JOIN_OVERDUE_S
         if status in (200, 202):
             self._last_model[order.instance] = order.model
 
+    def _due_s(self, order: Order) -> float:
+        spec = self._engine.model(order.model)
+        return 0.0 if spec is None else self._join_s(order.instance, spec)
+
     def _on_open_answer(self, group: PlannedGroup, status: int, now: float) -> None:
         if group.stage is not Stage.OPENING:
             return
