Groups form from instances that know the model, and spares stay spares

Change: after callers have come, groups form only from instances that join without a load; loading instances are not picked; the limit of a join is fixed when it begins; one spare a model stays in a domain; another model is loaded only where a group lacks little; the store of weights is kept busy before callers come; one missed probe confirms a standstill. Tests of the adapter, the planner (orders lost, late and repeated, planners that change) and the decisions are added.

--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -78,7 +78,8 @@
             for group in planner.groups.values():
                 if server in group.members:
                     for member in group.members:
-                        self._probe(planner, member, 0)
+                        # The standstill is a first sign; one missed probe is the second.
+                        self._probe(planner, member, PROBES_MISSED - 1)
 
     def step(self) -> None:
         """Plan, if this node holds the lease."""
@@ -106,8 +107,15 @@
         """Whether the planner before this one has surely stopped, and its work is seen."""
         began = self._lease.held_since
         seen = self._view_fresh_at()
+        if seen is not None and seen >= began and self._no_groups():
+            # Nobody has formed a group yet, and none opens faster than orders are fenced.
+            return True
         return now - began >= TAKE_OVER_S and seen is not None and seen >= began + TAKE_OVER_S
 
+    def _no_groups(self) -> bool:
+        rows = self._state.fleet.all()
+        return bool(rows) and all(row.membership is None for row in rows)
+
     def _renew(self) -> None:
         if self._lease.term == self._term:
             return
@@ -196,6 +204,8 @@
                 answer=body[:80].decode("latin-1"),
             )
             planner.on_answer(order, status, clock.now())
+            if order.kind in (OrderKind.CLOSE_CUT, OrderKind.CLOSE_WAIT):
+                self.step()
 
         def lost(reason: LossReason) -> None:
             self._state.metrics.orders.inc({"kind": order.kind.value, "status": "none"})
@@ -247,6 +257,7 @@
             if instance not in planner.lost:
                 log_warning("instance_lost", instance=instance, reason=reason.value)
             planner.mark_lost(instance, self._state.clock.now())
+            self.step()
 
         self._probing[instance] = self._state.client.fetch(
             row.address, "GET", REPORT_TARGET, (), b"", PROBE_TIMEOUT_S, done, lost
--- a/briarpond/placement/_loads.py
+++ b/briarpond/placement/_loads.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+QUEUED_AT_START = 4
+
 
 class LoadBudget:
     """Counts loads in a sliding window and those that run.
@@ -37,7 +39,9 @@
         """Whether `count` more loads may start now, beside `running` others."""
         while self._started and self._started[0] <= now - self._window_s:
             self._started.popleft()
-        if running >= self._at_once:
+        # While loads are quick, some wait at the store so that it is never idle.
+        most = self._at_once if self.counts else self._at_once + QUEUED_AT_START
+        if running >= most:
             return False
         if self.counts and now < self._spent_until:
             return False
--- a/briarpond/placement/_models.py
+++ b/briarpond/placement/_models.py
@@ -63,6 +63,10 @@
         From when a member's accepted join counts as overdue.
     cut : bool
         Whether closing ends running requests, because a member is lost.
+    late_at : float
+        From when joining counts as failed.
+    join_s : float
+        How long the slowest member should take to join.
     """
 
     id: GroupId
@@ -76,6 +80,8 @@
     last_order: dict[InstanceId, float] = msgspec.field(default_factory=dict)
     due: dict[InstanceId, float] = msgspec.field(default_factory=dict)
     cut: bool = True
+    late_at: float = 0.0
+    join_s: float = 0.0
 
     @property
     def head(self) -> InstanceId:
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -26,6 +26,8 @@
 RESEND_S = 0.5
 # Extra time for a member to become ready, beyond what its join should take.
 JOIN_PATIENCE_S = 2.5
+# Loads take longer while others run.
+LATE_FACTOR = 2.0
 # The list shows a change this much later at the most.
 RELEASED_S = 2.0
 # An accepted join is asked for again only this long after it should be done.
@@ -34,8 +36,13 @@
 LATE_ORDER_S = 12.0
 STALL_MARGIN_S = 0.4
 SHARE_IN_GROUPS = 0.8
-SPARES_PER_DOMAIN = 1
-ENOUGH = 1.25
+# Spares of a domain that know a model, once there are enough of its groups.
+SPARES_PER_MODEL = 1
+# Instances of a domain that are kept as spares while the first groups are formed.
+SPARES_AT_START = 2
+ENOUGH = 1.0
+# Spares that found no group for so long may load another model.
+IDLE_S = 2.0
 
 
 class Planner:
@@ -72,6 +79,7 @@
         self._born: dict[InstanceId, int] = {}
         self._instances: dict[InstanceId, Instance] = {}
         self._slow: set[InstanceId] = set()
+        self._free_since: dict[InstanceId, float] = {}
         self._released: dict[tuple[GroupId, int], float] = {}
 
     # What the planner is told
@@ -148,6 +156,7 @@
         free = self._free_by_domain(now)
         for domain in sorted(free, key=lambda each: -len(free[each])):
             self._form_in(domain, free, demand, now)
+        self._note_free(free, now)
         self._prepare(free, demand, now)
         for group in self.groups.values():
             if group.since == now and group.stage in (Stage.JOINING, Stage.PREPARING):
@@ -269,7 +278,7 @@
     def _drive_join(self, group: PlannedGroup, now: float) -> list[Order]:
         spec = self._engine.model(group.model)
         broken = spec is None or not all(self._usable(member) for member in group.members)
-        late = now - group.since > self._join_limit(group, spec)
+        late = now > group.late_at
         if broken or (late and group.stage is Stage.JOINING):
             self._abandon(group, now)
             return []
@@ -286,12 +295,6 @@
         )
         return self._repeat(group, waiting, OrderKind.JOIN, now)
 
-    def _join_limit(self, group: PlannedGroup, spec: ModelSpec | None) -> float:
-        if spec is None:
-            return 0.0
-        slowest = max(self._join_s(member, spec) for member in group.members)
-        return slowest * 2 + JOIN_PATIENCE_S
-
     def _abandon(self, group: PlannedGroup, now: float) -> None:
         """Give up a group that was never opened; whoever did not answer rests."""
         self._release(group, now)
@@ -333,14 +336,10 @@
             self._abandon(group, now)
             self._blocked_until[order.instance] = now + RESEND_S
         if status == 202:
-            group.due[order.instance] = now + self._due_s(order) + JOIN_OVERDUE_S
+            group.due[order.instance] = now + group.join_s + JOIN_OVERDUE_S
         if status in (200, 202):
             self._last_model[order.instance] = order.model
 
-    def _due_s(self, order: Order) -> float:
-        spec = self._engine.model(order.model)
-        return 0.0 if spec is None else self._join_s(order.instance, spec)
-
     def _on_open_answer(self, group: PlannedGroup, status: int, now: float) -> None:
         if group.stage is not Stage.OPENING:
             return
@@ -390,6 +389,11 @@
                 free[instance.domain].append(instance)
         return free
 
+    def _note_free(self, free: Mapping[FabricDomain, list[Instance]], now: float) -> None:
+        """Remember since when instances are idle."""
+        ids = {row.id for rows in free.values() for row in rows}
+        self._free_since = {each: self._free_since.get(each, now) for each in ids}
+
     def _may_leave(self, instance: Instance, heads: Mapping) -> bool:
         """Whether the group that an instance says it is in surely does not serve."""
         membership = instance.membership
@@ -444,22 +448,39 @@
         demand: Mapping[ModelName, float],
         now: float,
     ) -> bool:
+        """Form one group of instances that can join soon, if enough spares stay."""
+        soon = [row for row in rows if self._joins_soon(row, spec)]
         enough = self._satisfaction(spec, demand) >= ENOUGH
-        if len(rows) < spec.size + (SPARES_PER_DOMAIN if enough else 0):
+        spares = SPARES_PER_MODEL if enough else 0
+        if not self._loads.counts:
+            if enough:
+                return False
+            spares = SPARES_AT_START
+        if len(soon) < spec.size + spares:
             return False
-        rows.sort(key=lambda row: (self._join_s(row.id, spec), row.id))
-        chosen = rows[: spec.size]
-        to_load = [row for row in chosen if self._join_s(row.id, spec) >= spec.load_s > 0]
-        if to_load and not self._may_load(to_load, spec, now):
+        soon.sort(key=lambda row: (self._join_s(row.id, spec), row.id))
+        chosen = soon[: spec.size]
+        to_load = [row for row in chosen if self._join_s(row.id, spec) >= spec.load_s]
+        if to_load and not self._loads.take(len(to_load), self._loading(), now):
             return False
-        del rows[: spec.size]
-        self._drop_preparing(chosen)
+        for row in chosen:
+            rows.remove(row)
         self._add(spec, tuple(row.id for row in chosen), Stage.JOINING, now)
         return True
 
-    def _may_load(self, rows: list[Instance], spec: ModelSpec, now: float) -> bool:
-        """Whether a group whose members must load first is worth it, and allowed."""
-        return self._loads.take(len(rows), self._loading(), now)
+    def _joins_soon(self, row: Instance, spec: ModelSpec) -> bool:
+        """Whether an instance joins without a load, or loads are still quick."""
+        if row.id in self._preparing():
+            return False
+        return not self._loads.counts or self._join_s(row.id, spec) < spec.load_s
+
+    def _preparing(self) -> dict[InstanceId, ModelName]:
+        """Return the instances that load a model for later."""
+        return {
+            group.head: group.model
+            for group in self.groups.values()
+            if group.stage is Stage.PREPARING
+        }
 
     def _loading(self) -> int:
         """Return how many instances load from the weight store at present."""
@@ -479,46 +500,65 @@
         demand: Mapping[ModelName, float],
         now: float,
     ) -> None:
-        """Let idle instances load the model that their domain would miss most."""
-        preparing = {
-            member
-            for group in self.groups.values()
-            if group.stage is Stage.PREPARING
-            for member in group.members
-        }
+        """Let idle instances load the model that their domain lacks most."""
+        preparing = self._preparing()
         for rows in free.values():
+            have: dict[ModelName, int] = defaultdict(int)
             for row in rows:
-                if row.id in preparing or row.id in self._last_model:
-                    continue
-                spec = self._model_to_prepare(rows, demand)
-                if spec is None:
-                    return
-                needs_load = spec.name not in row.staged
-                if needs_load and not self._loads.take(1, self._loading(), now):
-                    return
-                self._last_model[row.id] = spec.name
-                self._add(spec, (row.id,), Stage.PREPARING, now)
-
-    def _model_to_prepare(
-        self, rows: list[Instance], demand: Mapping[ModelName, float]
-    ) -> ModelSpec | None:
-        if not self._engine.models:
-            return None
-        ready: dict[ModelName, int] = defaultdict(int)
-        for row in rows:
-            model = self._last_model.get(row.id)
-            if model is not None:
-                ready[model] += 1
-        return min(
-            self._engine.models,
-            key=lambda spec: (min(ready[spec.name], 1), self._satisfaction(spec, demand)),
-        )
+                model = preparing.get(row.id) or self._last_model.get(row.id)
+                if model is not None:
+                    have[model] += 1
+            idle = [row for row in rows if row.id not in preparing]
+            blank = [row for row in idle if row.id not in self._last_model]
+            for row in blank:
+                self._prepare_one(row, self._model_lacked(have, len(blank)), have, now)
+            if not blank and not any(row.id in preparing for row in rows):
+                self._convert(idle, have, demand, now)
+
+    def _model_lacked(self, have: Mapping[ModelName, int], blank: int) -> ModelSpec:
+        """Return the model whose next group lacks fewest instances, then one without a spare."""
+
+        def lack(spec: ModelSpec) -> tuple[bool, int]:
+            missing = spec.size - have.get(spec.name, 0) % spec.size
+            started = have.get(spec.name, 0) % spec.size > 0
+            return not (started and missing <= blank), have.get(spec.name, 0) * spec.size
+
+        return min(self._engine.models, key=lack)
+
+    def _prepare_one(
+        self, row: Instance, spec: ModelSpec, have: dict[ModelName, int], now: float
+    ) -> bool:
+        needs_load = spec.name not in row.staged
+        if needs_load and not self._loads.take(1, self._loading(), now):
+            return False
+        have[spec.name] += 1
+        self._add(spec, (row.id,), Stage.PREPARING, now)
+        self._last_model[row.id] = spec.name
+        return True
 
-    def _drop_preparing(self, rows: list[Instance]) -> None:
-        ids = {row.id for row in rows}
-        for group in list(self.groups.values()):
-            if group.stage is Stage.PREPARING and group.head in ids:
-                del self.groups[group.id]
+    def _convert(
+        self,
+        idle: list[Instance],
+        have: dict[ModelName, int],
+        demand: Mapping[ModelName, float],
+        now: float,
+    ) -> None:
+        """Let spares of other models complete a group that lacks little, or is wanted more."""
+        waiting = [row for row in idle if now - self._free_since.get(row.id, now) > IDLE_S]
+
+        def worth_loading(spec: ModelSpec) -> bool:
+            missing = spec.size - have[spec.name]
+            nearly = 0 < 2 * missing < spec.size and len(waiting) >= spec.size
+            wanted = self._satisfaction(spec, demand) < ENOUGH
+            return nearly or (wanted and len(waiting) >= spec.size + SPARES_AT_START)
+
+        specs = [spec for spec in self._engine.models if worth_loading(spec)]
+        if not specs:
+            return
+        spec = min(specs, key=lambda each: each.size - have[each.name])
+        others = [row for row in waiting if self._last_model.get(row.id) != spec.name]
+        for row in others[: max(0, spec.size - have[spec.name])]:
+            self._prepare_one(row, spec, have, now)
 
     def _add(
         self, spec: ModelSpec, members: tuple[InstanceId, ...], stage: Stage, now: float
@@ -526,4 +566,14 @@
         number = next(self._numbers)
         name = GroupId(f"g{self.term}-{number}")
         epoch = self.term * EPOCHS_PER_TERM + number
-        self.groups[name] = PlannedGroup(name, epoch, spec.name, members, stage, now)
+        slowest = max(self._join_s(member, spec) for member in members)
+        self.groups[name] = PlannedGroup(
+            name,
+            epoch,
+            spec.name,
+            members,
+            stage,
+            now,
+            late_at=now + LATE_FACTOR * slowest + JOIN_PATIENCE_S,
+            join_s=slowest,
+        )
--- /dev/null
+++ b/tests/dispatch/test_parts.py
@@ -0,0 +1,92 @@
+"""Events, budget, load, speed and admission."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarpond.dispatch import (
+    EventSplitter,
+    LoadBook,
+    RetryBudget,
+    VerdictKind,
+    Work,
+    first_event_s,
+    judge,
+    place_s,
+)
+from briarpond.platform import decode_configuration
+
+from ..platform_samples import config_bytes
+
+ENGINE = decode_configuration(config_bytes()).ok.services["pool"].engine
+BIG, SMALL = ENGINE.models
+USUAL = Work(979, 154)
+
+
+@given(st.lists(st.integers(1, 40)), st.integers(1, 50))
+def test_only_whole_events_pass_however_the_stream_is_cut(sizes, step):
+    events = [b"id: %d\ndata: %s\n\n" % (n, b"x" * size) for n, size in enumerate(sizes)]
+    stream = b"".join(events)
+    splitter = EventSplitter()
+    passed = b""
+    for start in range(0, len(stream), step):
+        whole = splitter.feed(stream[start : start + step])
+        assert whole == b"" or whole.endswith(b"\n\n")
+        passed += whole
+    assert passed == stream and not splitter.partial
+    if sizes:
+        assert splitter.last_id == str(len(sizes) - 1).encode()
+
+
+def test_resumed_stream_drops_the_half_event():
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    assert splitter.partial and splitter.last_id == b"1"
+    splitter.restart()
+    assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+
+@pytest.mark.parametrize("nodes", [1, 8, 72])
+def test_nodes_together_stay_within_the_budget(nodes):
+    ratio, slack, window = 0.2, 107.0, 10.0
+    budgets = [RetryBudget(ratio, slack, window) for _ in range(nodes)]
+    repeats: list[float] = []
+    requests = 0
+    for tick in range(400):
+        now = tick * 0.1
+        for budget in budgets:
+            budget.count_request(now)
+            requests += 1
+            while budget.take(nodes, now):
+                repeats.append(now)
+        within = sum(1 for at in repeats if at > now - window)
+        per_window = min(requests, int(window / 0.1) * nodes)
+        assert within <= ratio * per_window + slack
+
+
+def test_load_of_other_nodes_counts_while_it_is_fresh():
+    book = LoadBook()
+    book.sent("s", 500)
+    book.put_peer("n2", [("s", 3, 900)], 10.0)
+    assert (book.load("s", 10.5).in_flight, book.load("s", 10.5).unread_tokens) == (4, 1400)
+    assert book.load("s", 12.0).in_flight == 1
+    book.put_peer("n2", [], 10.6)
+    assert book.load("s", 10.7).in_flight == 1
+    book.began("s", 500)
+    book.ended("s")
+    assert book.load("s", 10.7).in_flight == 0
+
+
+def test_a_full_group_is_expected_later_than_one_with_room():
+    free = first_event_s(ENGINE, BIG, USUAL, 8, 0)
+    full = first_event_s(ENGINE, BIG, USUAL, 9, 0)
+    fuller = first_event_s(ENGINE, BIG, USUAL, 12, 0)
+    assert free < full < fuller
+    assert place_s(ENGINE, SMALL, USUAL) < place_s(ENGINE, BIG, USUAL)
+
+
+def test_verdicts():
+    assert judge(0.1, True, 0.0, 0.4, 8.0, 0.4).kind is VerdictKind.SEND
+    assert judge(None, False, 0.0, 0.4, 8.0, 0.4).kind is VerdictKind.HOLD
+    late = judge(None, False, 0.5, 0.4, 6.0, 0.4)
+    assert late.kind is VerdictKind.REFUSE and 0 < late.retry_after_s <= 2.0
--- /dev/null
+++ b/tests/fleet/test_view.py
@@ -0,0 +1,49 @@
+"""The list of instances through outages, and the groups they say they form."""
+
+from briarpond.fleet import FleetView, InstanceState, groups_of
+from briarpond.platform import decode_instance
+
+from ..platform_samples import server_bytes
+
+
+def row(name, **changes):
+    return decode_instance(name, server_bytes(**changes)).ok
+
+
+def test_removed_instance_is_gone_at_once_in_calm_times():
+    view = FleetView()
+    view.put(row("a"), 0.0)
+    view.remove("a", 1.0)
+    assert view.get("a") is None and "a" in view.left
+
+
+def test_entries_that_lapsed_in_an_outage_get_time_to_come_back():
+    view = FleetView()
+    view.put(row("a"), 0.0)
+    view.put(row("b"), 0.0)
+    view.outage_ended(10.0)
+    view.replace_all([], 10.0)
+    assert {each.id for each in view.all()} == {"a", "b"}
+    view.put(row("a"), 11.0)
+    view.settle(12.0)
+    assert view.get("b") is not None
+    view.settle(12.6)
+    assert view.get("b") is None and view.get("a") is not None
+    assert view.left.keys() == {"b"}
+
+
+def test_draining_instance_takes_no_new_work():
+    view = FleetView()
+    view.put(row("a", state="draining"), 3.0)
+    assert view.of("pool") == [] and view.left == {"a": 3.0}
+    view.put(row("a"), 4.0)
+    assert [each.state for each in view.of("pool")] == [InstanceState.READY]
+
+
+def test_groups_are_put_together_by_rank():
+    def member(name, rank):
+        return row(name, group={"name": "g", "epoch": 5, "rank": rank, "state": "open"})
+
+    (group,) = groups_of([member("b", 1), member("a", 0), row("c", group=None)])
+    assert (group.head, group.members, group.epoch) == ("a", ("a", "b"), 5)
+    assert groups_of([member("b", 1)]) == []
--- /dev/null
+++ b/tests/placement/test_planner.py
@@ -0,0 +1,140 @@
+"""Groups are formed, kept whole and repaired, whatever happens to the orders."""
+
+import itertools
+
+import pytest
+
+from briarpond.placement import LoadBudget, Stage
+from briarpond.platform import decode_configuration
+
+from ..platform_samples import config_bytes
+from .world import World, whole_groups
+
+ENGINE = decode_configuration(config_bytes()).ok.services["pool"].engine
+
+
+def calm(seed=1, **changes):
+    world = World(ENGINE, 60, 10, seed, **changes)
+    planner = world.planner(1)
+    world.run(planner, 120.0)
+    return world, planner
+
+
+def test_all_groups_are_formed_inside_their_domains():
+    world, planner = calm()
+    assert not world.problems
+    models = [group.model for group in planner.groups.values() if group.stage is Stage.OPEN]
+    assert models.count("big") >= 6 and models.count("small") >= 11
+    for group in planner.groups.values():
+        assert len({world.servers[member].domain for member in group.members}) == 1
+
+
+def test_lost_member_is_replaced_by_a_spare_that_knows_the_model():
+    world, planner = calm()
+    group = next(g for g in planner.groups.values() if g.model == "big")
+    open_before = whole_groups(planner)
+    world.kill(group.members[2])
+    world.run(planner, 2.0)
+    assert not world.problems
+    assert whole_groups(planner) >= open_before
+    assert group.members[2] not in {m for g in planner.groups.values() for m in g.members}
+
+
+def test_members_of_a_lost_head_join_again_only_after_the_stall():
+    world, planner = calm()
+    group = next(g for g in planner.groups.values() if g.model == "big")
+    rest = set(group.members[1:])
+    world.kill(group.head)
+    world.run(planner, 3.5)
+    busy = {m for g in planner.groups.values() if g.stage is Stage.OPEN for m in g.members}
+    assert not rest & busy
+    world.run(planner, 4.0)
+    assert not world.problems
+
+
+def test_restarted_instance_is_no_member_any_more():
+    world, planner = calm()
+    group = next(g for g in planner.groups.values() if g.model == "small")
+    world.kill(group.members[1])
+    world.restart(group.members[1])
+    world.run(planner, 3.0)
+    assert group.id not in planner.groups and not world.problems
+
+
+def test_group_of_a_leaving_member_is_closed_without_cutting_requests():
+    world, planner = calm()
+    group = next(g for g in planner.groups.values() if g.model == "big")
+    world.servers[group.members[1]].draining = True
+    world.refresh()
+    planner.update(list(world.view.values()), world.now)
+    orders = planner.step({}, world.now)
+    assert [order.kind.value for order in orders if order.group == group.id] == ["close_wait"]
+
+
+def test_next_planner_keeps_open_groups():
+    world, planner = calm()
+    before = {(s.name, s.group[0]) for s in world.serving()}
+    following = world.planner(7)
+    world.run(following, 5.0)
+    after = {(s.name, s.group[0]) for s in world.serving()}
+    assert before <= after and not world.problems
+
+
+def test_loads_stay_within_the_limit_once_callers_have_come():
+    budget = LoadBudget(5.0, 7, 5.0)
+    budget.counts = True
+    started = []
+    for tick in range(300):
+        now = tick * 0.1
+        while budget.take(1, 0, now):
+            started.append(now)
+        assert sum(1 for at in started if at > now - 5.0) <= 27
+
+
+def test_group_that_does_not_fit_the_window_leaves_the_budget_to_others():
+    budget = LoadBudget(1.0, 7, 3.0)
+    budget.counts = True
+    assert not budget.take(4, 0, 0.0)
+    assert budget.take(3, 0, 0.0)
+
+
+def test_planner_that_follows_another_does_not_load_at_once():
+    budget = LoadBudget(5.0, 7, 5.0)
+    budget.counts = True
+    budget.spend_all(10.0)
+    assert not budget.take(1, 0, 14.9)
+    assert budget.take(1, 0, 15.0)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_partial_and_no_double_membership_with_lost_and_late_orders(seed):
+    """Orders are lost, late and repeated; instances die and restart; planners change."""
+    world = World(ENGINE, 30, 10, seed, lose=0.35, late=0.7)
+    numbers = itertools.count(1)
+    term = 1
+    planner = world.planner(term, numbers)
+    world.run(planner, 60.0)
+    for _ in range(12):
+        victim = world.rng.choice(sorted(world.servers))
+        if world.rng.random() < 0.6:
+            world.kill(victim)
+            if world.rng.random() < 0.5:
+                world.advance(0.2)
+                world.restart(victim)
+        else:
+            world.servers[victim].draining = world.rng.random() < 0.5
+        world.run(planner, world.rng.uniform(0.5, 6.0), view_lag=0.2)
+        if world.rng.random() < 0.4:
+            # The lease goes to another, which waits and reads the list anew.
+            term += 3
+            world.advance(1.0)
+            world.refresh()
+            planner = world.planner(term, itertools.count(1))
+    assert not world.problems
+
+
+def test_groups_come_back_while_orders_are_lost():
+    world = World(ENGINE, 60, 10, 5, lose=0.35, late=0.7)
+    planner = world.planner(1)
+    world.run(planner, 180.0)
+    assert not world.problems and whole_groups(planner) >= 12
--- /dev/null
+++ b/tests/routes/test_table.py
@@ -0,0 +1,46 @@
+"""Routes by host and longest prefix, tenants by key."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from briarpond.platform import decode_configuration
+from briarpond.routes import RouteTable, choose_service
+
+from ..platform_samples import config_bytes
+
+
+@pytest.fixture
+def table():
+    return RouteTable(decode_configuration(config_bytes()).ok)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("shop.example", "/plan/x", "r-plan"),
+        ("SHOP.example:80", "/plan/", "r-plan"),
+        ("shop.example", "/order/open/3", "r-open"),
+        ("shop.example", "/order/opener", "r-order"),
+        ("shop.example", "/plan", None),
+        ("shop.example", "/", None),
+        ("else.example", "/plan/x", None),
+    ],
+)
+def test_longest_prefix_of_the_host(table, host, path, name):
+    route = table.find(host, path)
+    assert (None if route is None else route.name) == name
+
+
+def test_keys_are_asked_except_on_public_routes(table):
+    order = table.find("shop.example", "/order/1")
+    assert table.admits(order, "key-a") and not table.admits(order, "other")
+    assert not table.admits(order, None)
+    assert table.admits(table.find("shop.example", "/order/open/1"), None)
+
+
+def test_split_follows_the_weights(table):
+    rng = random.Random(1)
+    drawn = Counter(choose_service(table.config.routes[0], rng) for _ in range(2000))
+    assert 0.86 < drawn["pool"] / 2000 < 0.94
