Loads of an earlier planner go on; few candidates for the lease; unready when keys are stale

Change: a planner that follows lets loads finish and counts them in its window; three nodes apply for the lease; a node is ready only while its configuration is younger than 0.6 of the bound on withdrawn keys; a head whose order to open got no answer is told to leave instead of to close.

--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -32,6 +32,7 @@
         demand=[ttypes.DemandRow(each.model, each.groups) for each in beat.demand],
         stalled=list(beat.stalled),
         plan=None if beat.plan is None else _encode_plan(beat.plan),
+        candidate=beat.candidate,
     )
     row.write(TCompactProtocolAccelerated(buffer))
     return buffer.getvalue()
@@ -72,6 +73,7 @@
         demand=tuple(DemandRow(ModelName(each.model), each.groups) for each in row.demand),
         stalled=tuple(InstanceId(each) for each in row.stalled),
         plan=None if row.plan is None else _decode_plan(row.plan),
+        candidate=bool(row.candidate),
     )
 
 
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -51,6 +51,8 @@
         Heads whose running streams stand still.
     plan : Plan or None
         Set by the node that plans.
+    candidate : bool
+        Whether the node keeps applying for the planner's lease and reaches the store.
     """
 
     node: NodeId
@@ -62,3 +64,4 @@
     demand: tuple[DemandRow, ...] = ()
     stalled: tuple[InstanceId, ...] = ()
     plan: Plan | None = None
+    candidate: bool = False
--- a/briarpond/directory/_nodes.py
+++ b/briarpond/directory/_nodes.py
@@ -44,6 +44,14 @@
         """Return how many nodes there are, this one included."""
         return 1 + len(self.living(now))
 
+    def should_apply(self, most: int, now: float) -> bool:
+        """Whether this node should apply for a lease that `most` nodes apply for."""
+        living = [beat for beat in self.living(now) if not beat.leaving]
+        applying = sum(1 for beat in living if beat.candidate)
+        others = sorted(beat.node for beat in living if not beat.candidate)
+        ahead = sum(1 for node in others if node < self._own)
+        return applying + ahead < most
+
     def forget(self, now: float) -> None:
         """Drop nodes that were silent for long."""
         for node, heard in list(self._heard.items()):
@@ -60,7 +68,9 @@
         own : Beat
             What this node would say of itself.
         """
-        beats = [beat for beat in (own, *self.living(now)) if beat.ready and not beat.leaving]
+        staying = [beat for beat in (own, *self.living(now)) if not beat.leaving]
+        # Where no node is ready, callers may as well ask any: one may be, a moment later.
+        beats = [beat for beat in staying if beat.ready] or staying
         if len(beats) > MAX_ADDRESSES:
             beats = rng.sample(beats, MAX_ADDRESSES)
         beats.sort(key=lambda beat: beat.data_centre != near)
--- a/briarpond/directory/beats.thrift
+++ b/briarpond/directory/beats.thrift
@@ -46,5 +46,6 @@
   7: required list<ServerRow> servers,
   8: required list<DemandRow> demand,
   9: required list<string> stalled,
-  10: optional Plan plan
+  10: optional Plan plan,
+  11: optional bool candidate
 }
--- a/briarpond/directory/gen/beats/ttypes.py
+++ b/briarpond/directory/gen/beats/ttypes.py
@@ -414,11 +414,12 @@
      - demand
      - stalled
      - plan
+     - candidate
 
     """
 
 
-    def __init__(self, node=None, host=None, port=None, data_centre=None, ready=None, leaving=None, servers=None, demand=None, stalled=None, plan=None,):
+    def __init__(self, node=None, host=None, port=None, data_centre=None, ready=None, leaving=None, servers=None, demand=None, stalled=None, plan=None, candidate=None,):
         self.node = node
         self.host = host
         self.port = port
@@ -429,6 +430,7 @@
         self.demand = demand
         self.stalled = stalled
         self.plan = plan
+        self.candidate = candidate
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -507,6 +509,11 @@
                     self.plan.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.candidate = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -566,6 +573,10 @@
             oprot.writeFieldBegin('plan', TType.STRUCT, 10)
             self.plan.write(oprot)
             oprot.writeFieldEnd()
+        if self.candidate is not None:
+            oprot.writeFieldBegin('candidate', TType.BOOL, 11)
+            oprot.writeBool(self.candidate)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -643,6 +654,7 @@
     (8, TType.LIST, 'demand', (TType.STRUCT, [DemandRow, None], False), None, ),  # 8
     (9, TType.LIST, 'stalled', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.STRUCT, 'plan', [Plan, None], None, ),  # 10
+    (11, TType.BOOL, 'candidate', None, None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/briarpond/gateway/_ingress.py
+++ b/briarpond/gateway/_ingress.py
@@ -14,6 +14,8 @@
 # With keys to check, a configuration older than this part of the bound is not used.
 KEYS_FRESH_SHARE = 0.88
 NOT_READY_RETRY_S = 0.3
+# Another node can serve what this one may not: callers need not wait.
+ELSEWHERE_RETRY_S = 0.02
 WAITING_EVERY_S = 0.01
 STALL_EVERY_S = 0.05
 # All of a head's streams silent for so long: a member of its group is lost.
@@ -68,7 +70,7 @@
         key = bearer_key(request.header(WireHeader.AUTHORIZATION))
         asks_key = table.config.asks_keys and not route.public
         if asks_key and not self._keys_fresh():
-            self._refuse(request, reply, _Refusal(503, "keys_stale", NOT_READY_RETRY_S))
+            self._refuse(request, reply, _Refusal(503, "keys_stale", ELSEWHERE_RETRY_S))
             return
         if not table.admits(route, key):
             self._refuse(request, reply, _Refusal(401, "unknown_key"))
--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -1,5 +1,7 @@
 """The planner's lease: a member of a group at the store holds it."""
 
+from collections.abc import Callable
+
 from briarpond.ids import NodeId
 from briarpond.logs import log_event, log_warning
 from briarpond.net import Clock, LossReason
@@ -8,6 +10,9 @@
 from ._store_link import StoreLink
 
 RENEW_S = 0.5
+FIRST_APPLY_S = 0.3
+# So many nodes apply for the lease; more would only move it more often.
+CANDIDATES = 3
 CALL_TIMEOUT_S = 0.45
 # The holder stops this much before the store may give the lease to another.
 MARGIN_S = 0.2
@@ -24,9 +29,19 @@
         When this node last became the holder.
     """
 
-    def __init__(self, store: StoreLink, clock: Clock, node: NodeId, ttl_min_s: float) -> None:
+    def __init__(
+        self,
+        store: StoreLink,
+        clock: Clock,
+        node: NodeId,
+        ttl_min_s: float,
+        should_apply: Callable[[], bool],
+    ) -> None:
         self.term = 0
         self.held_since = float("inf")
+        self._should_apply = should_apply
+        self._applies = False
+        self._lost_count = 0
         self._store = store
         self._clock = clock
         # A restarted process is another member, so that its term is a new one.
@@ -37,8 +52,8 @@
         self._stopped = False
 
     def start(self) -> None:
-        """Begin to apply for the lease."""
-        self._renew()
+        """Begin to apply for the lease, once other nodes could be heard."""
+        self._clock.after(FIRST_APPLY_S, self._renew)
 
     def stop(self) -> None:
         """Give the lease up."""
@@ -46,6 +61,10 @@
         self._holds = False
         self._store.call(leave_lease(self._member), CALL_TIMEOUT_S, self._left, self._not_left)
 
+    def is_candidate(self, now: float) -> bool:
+        """Whether this node applies for the lease and reaches the store."""
+        return self._applies and now < self._granted_at + self._ttl_s
+
     def holds(self, now: float) -> bool:
         """Whether this node holds the lease now."""
         return self._holds and now < self._granted_at + self._ttl_s - MARGIN_S
@@ -57,6 +76,11 @@
     def _renew(self) -> None:
         if self._stopped:
             return
+        self._clock.after(RENEW_S, self._renew)
+        # Whoever applies goes on: each change of members may move the lease.
+        self._applies = self._applies or self._should_apply()
+        if not self._applies:
+            return
         asked_at = self._clock.now()
         call = join_lease(self._member, self._ttl_s, self.term)
         self._store.call(
@@ -65,7 +89,6 @@
             lambda status, body: self._answered(asked_at, status, body),
             self._lost,
         )
-        self._clock.after(RENEW_S, self._renew)
 
     def _answered(self, asked_at: float, status: int, body: bytes) -> None:
         answer = decode_lease(body) if status == 200 else None
@@ -73,6 +96,7 @@
             return
         if self._stopped:
             return
+        self._lost_count = 0
         held = self.holds(self._clock.now())
         self.term = max(self.term, answer.ok.term)
         self._holds = answer.ok.holds
@@ -83,7 +107,8 @@
             log_event("lease", holds=self._holds, term=self.term)
 
     def _lost(self, reason: LossReason) -> None:
-        if self._holds:
+        self._lost_count += 1
+        if self._holds and self._lost_count == 1:
             log_warning("lease_not_renewed", term=self.term, reason=reason.value)
 
     def _left(self, status: int, _body: bytes) -> None:
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -31,7 +31,7 @@
 from briarpond.routes import Configuration, RouteTable
 
 from ._ingress import Ingress
-from ._lease import Lease
+from ._lease import CANDIDATES, Lease
 from ._peers import PeerLink
 from ._planner_link import PlannerLink
 from ._registry import NodeRegistry
@@ -47,6 +47,8 @@
 PLANNER_PACE_S = 0.05
 HOUSEKEEPING_S = 1.0
 STOP_EVERY_S = 0.05
+# Callers are sent elsewhere before the node has to refuse their keys.
+READY_FRESH_SHARE = 0.6
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
 
@@ -91,7 +93,13 @@
         )
         clock += self._peers
         self._registry = NodeRegistry(self._store, clock, settings, self._peers.set_nodes)
-        self._lease = Lease(self._store, clock, settings.node, settings.store.lease_ttl_min_s)
+        self._lease = Lease(
+            self._store,
+            clock,
+            settings.node,
+            settings.store.lease_ttl_min_s,
+            lambda: self._peers.book.should_apply(CANDIDATES, clock.now()),
+        )
         self._planner = PlannerLink(
             self.state, self._lease, self._peers, lambda: self._instances_feed.fresh_at
         )
@@ -111,8 +119,13 @@
 
     @property
     def ready(self) -> bool:
-        """Whether callers may be sent here."""
-        return self.state.config is not None and not self.state.leaving
+        """Whether callers may be sent here: with keys to check, not on old knowledge."""
+        config = self.state.config
+        if config is None or self.state.leaving:
+            return False
+        age = self._config_feed.age(self._clock.now())
+        fresh_s = self._settings.bounds.revoke_s * READY_FRESH_SHARE
+        return not config.asks_keys or (age is not None and age < fresh_s)
 
     def start(self) -> None:
         """Schedule everything."""
@@ -259,6 +272,7 @@
             demand=state.demand(now),
             stalled=tuple(self._stalled),
             plan=self._planner.plan(),
+            candidate=self._lease.is_candidate(now),
         )
 
     def _on_beat(self, beat: Beat) -> None:
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from briarpond.directory import Plan, PlanRow
+from briarpond.fleet import MemberState
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.logs import log_event, log_warning
 from briarpond.net import Exchange, LossReason
@@ -112,6 +113,15 @@
             return True
         return now - began >= TAKE_OVER_S and seen is not None and seen >= began + TAKE_OVER_S
 
+    def _joining(self, service: ServiceName) -> int:
+        return sum(
+            1
+            for row in self._state.fleet.all()
+            if row.service == service
+            and row.membership is not None
+            and row.membership.state is MemberState.JOINING
+        )
+
     def _no_groups(self) -> bool:
         rows = self._state.fleet.all()
         return bool(rows) and all(row.membership is None for row in rows)
@@ -152,8 +162,7 @@
         self._term = self._lease.term
         engine = spec.engine
         loads = LoadBudget(engine.loads_per_s, engine.loads_at_once, bounds.loads_window_s)
-        if self._state.plan is not None:
-            loads.spend_all(now)
+        loads.spend(self._joining(spec.name), now)
         planner = Planner(self._term, engine, loads, bounds.stall_s, self._numbers)
         self._planners[spec.name] = planner
         log_event("planner_start", term=self._term, service=spec.name)
--- a/briarpond/placement/_loads.py
+++ b/briarpond/placement/_loads.py
@@ -25,15 +25,14 @@
 
     def __init__(self, per_s: float, at_once: int, window_s: float) -> None:
         self.counts = False
-        self._spent_until = 0.0
         self._most = max(1, int(per_s * window_s))
         self._at_once = at_once
         self._window_s = window_s
         self._started: deque[float] = deque()
 
-    def spend_all(self, now: float) -> None:
-        """Take the window to be used up, by loads that another planner started."""
-        self._spent_until = now + self._window_s
+    def spend(self, count: int, now: float) -> None:
+        """Count loads that another planner started, at the latest now."""
+        self._started.extend([now] * min(count, self._most))
 
     def take(self, count: int, running: int, now: float) -> bool:
         """Whether `count` more loads may start now, beside `running` others."""
@@ -43,8 +42,6 @@
         most = self._at_once if self.counts else self._at_once + QUEUED_AT_START
         if running >= most:
             return False
-        if self.counts and now < self._spent_until:
-            return False
         if self.counts and len(self._started) + count > self._most:
             return False
         self._started.extend([now] * count)
--- a/briarpond/placement/_models.py
+++ b/briarpond/placement/_models.py
@@ -63,6 +63,8 @@
         From when a member's accepted join counts as overdue.
     cut : bool
         Whether closing ends running requests, because a member is lost.
+    may_open_late : bool
+        Whether an order to open got no answer, and may still be carried out.
     late_at : float
         From when joining counts as failed.
     join_s : float
@@ -80,6 +82,7 @@
     last_order: dict[InstanceId, float] = msgspec.field(default_factory=dict)
     due: dict[InstanceId, float] = msgspec.field(default_factory=dict)
     cut: bool = True
+    may_open_late: bool = False
     late_at: float = 0.0
     join_s: float = 0.0
 
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -41,6 +41,8 @@
 # Instances of a domain that are kept as spares while the first groups are formed.
 SPARES_AT_START = 2
 ENOUGH = 1.0
+# Beyond this, a spare for repairs is worth more than one more group.
+AMPLE = 1.3
 # Spares that found no group for so long may load another model.
 IDLE_S = 2.0
 
@@ -124,6 +126,7 @@
         """Take the status of an order's answer; None if there was none."""
         if status is None:
             self._unanswered[order.instance] = now
+            self._note_late_open(order)
             return
         self.mark_alive(order.instance)
         group = self.groups.get(order.group)
@@ -133,12 +136,19 @@
             self._on_join_answer(group, order, status, now)
         elif order.kind is OrderKind.OPEN:
             self._on_open_answer(group, status, now)
-        elif order.kind in (OrderKind.CLOSE_CUT, OrderKind.CLOSE_WAIT):
+        elif group.stage is Stage.CLOSING and order.instance == group.head:
+            # A head that has left cannot open late; a closed one must be seen closed.
             if status in (200, 409, 421):
                 self._release(group, now)
         elif order.kind is OrderKind.LEAVE and group.stage is Stage.HEAD_LOST:
             self._blocked_until[order.instance] = now + self._stall_s + STALL_MARGIN_S
 
+    def _note_late_open(self, order: Order) -> None:
+        """An order to open that got no answer may still be carried out."""
+        group = self.groups.get(order.group)
+        if order.kind is OrderKind.OPEN and group is not None:
+            group.may_open_late = True
+
     # What the planner decides
 
     def step(self, demand: Mapping[ModelName, float], now: float) -> list[Order]:
@@ -220,15 +230,17 @@
             self._release(group, now)
 
     def _adopt(self, now: float) -> None:
-        """Take over groups that serve and that this planner does not keep."""
+        """Take over groups that serve or join, and that this planner does not keep."""
         for group in groups_of(self._instances.values()):
             if group.id in self.groups:
                 continue
-            if group.state not in (MemberState.OPEN, MemberState.CLOSING):
-                continue
             # What was just let go is still listed as it was a moment ago.
-            if now - self._released.get((group.id, group.epoch), -RELEASED_S) >= RELEASED_S:
+            if now - self._released.get((group.id, group.epoch), -RELEASED_S) < RELEASED_S:
+                continue
+            if group.state in (MemberState.OPEN, MemberState.CLOSING):
                 self._adopt_open(group, now)
+            elif group.state is MemberState.JOINING and self._is_load(group):
+                self._adopt_load(group, now)
 
     def _adopt_open(self, group: Group, now: float) -> None:
         spec = self._engine.model(group.model)
@@ -242,6 +254,21 @@
         if group.state is MemberState.CLOSING or not whole or let_go:
             self._begin_close(planned, True, now)
 
+    def _is_load(self, group: Group) -> bool:
+        """Whether a group only lets its one member load a model."""
+        return len(group.members) == 1 and (group.id, group.epoch) not in self._released
+
+    def _adopt_load(self, group: Group, now: float) -> None:
+        """Let an instance finish the load that an earlier planner began."""
+        planned = PlannedGroup(
+            group.id, group.epoch, group.model, group.members, Stage.PREPARING, now
+        )
+        spec = self._engine.model(group.model)
+        load_s = 0.0 if spec is None else spec.load_s + spec.warm_s
+        planned.due[group.head] = now + load_s + JOIN_OVERDUE_S
+        planned.late_at = now + LATE_FACTOR * load_s + JOIN_PATIENCE_S
+        self.groups[group.id] = planned
+
     # One group
 
     def _drive(self, group: PlannedGroup, now: float) -> list[Order]:
@@ -279,7 +306,7 @@
         spec = self._engine.model(group.model)
         broken = spec is None or not all(self._usable(member) for member in group.members)
         late = now > group.late_at
-        if broken or (late and group.stage is Stage.JOINING):
+        if broken or late:
             self._abandon(group, now)
             return []
         if len(group.ready) == len(group.members):
@@ -307,6 +334,8 @@
             group.enter(Stage.HEAD_LOST, now)
             return self._drive_head_lost(group, now)
         kind = OrderKind.CLOSE_CUT if group.cut else OrderKind.CLOSE_WAIT
+        if group.may_open_late:
+            kind = OrderKind.LEAVE
         if not group.cut and any(member in self.lost for member in group.members):
             group.cut = True
             group.last_order.clear()
@@ -450,10 +479,10 @@
     ) -> bool:
         """Form one group of instances that can join soon, if enough spares stay."""
         soon = [row for row in rows if self._joins_soon(row, spec)]
-        enough = self._satisfaction(spec, demand) >= ENOUGH
-        spares = SPARES_PER_MODEL if enough else 0
+        satisfaction = self._satisfaction(spec, demand)
+        spares = SPARES_PER_MODEL if satisfaction >= AMPLE else 0
         if not self._loads.counts:
-            if enough:
+            if satisfaction >= ENOUGH:
                 return False
             spares = SPARES_AT_START
         if len(soon) < spec.size + spares:
