The planner tells all nodes their targets; a few choices instead of the very best

Change: heartbeats of the planner carry groups and plain servers while they are new and now and then; a node follows the list itself only without a fresh plan; two to four random groups are compared; ages count suspended time (boot-time clock).

--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -5,11 +5,11 @@
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from briarpond.ids import DataCentre, GroupId, InstanceId, NodeId
+from briarpond.ids import DataCentre, GroupId, InstanceId, NodeId, ServiceName
 from briarpond.net import Address
 from briarpond.routes import ModelName
 
-from ._models import Beat, DemandRow, Plan, PlanRow, ServerRow
+from ._models import Beat, DemandRow, PlainRow, Plan, PlanRow, ServerRow, Targets
 from .gen.beats import ttypes
 
 _MALFORMED = (TException, EOFError, TypeError, ValueError, AttributeError)
@@ -50,13 +50,26 @@
 
 
 def _encode_plan(plan: Plan) -> ttypes.Plan:
-    rows = [
-        ttypes.PlanRow(
-            row.group, row.epoch, row.model, row.head, row.address.host, row.address.port
-        )
-        for row in plan.groups
-    ]
-    return ttypes.Plan(plan.term, plan.sequence, rows)
+    encoded = ttypes.Plan(plan.term, plan.sequence, fresh=plan.fresh)
+    if plan.targets is not None:
+        encoded.groups = [
+            ttypes.PlanRow(
+                row.group, row.epoch, row.model, row.head, row.address.host, row.address.port
+            )
+            for row in plan.targets.groups
+        ]
+        encoded.servers = [
+            ttypes.PlainRow(
+                row.instance,
+                row.service,
+                row.address.host,
+                row.address.port,
+                row.data_centre,
+                row.slots,
+            )
+            for row in plan.targets.servers
+        ]
+    return encoded
 
 
 def _decode(row: ttypes.Beat) -> Beat:
@@ -78,14 +91,30 @@
 
 
 def _decode_plan(plan: ttypes.Plan) -> Plan:
-    rows = tuple(
-        PlanRow(
-            GroupId(row.group),
-            row.epoch,
-            ModelName(row.model),
-            InstanceId(row.head),
-            Address(row.host, row.port),
+    targets = None
+    if plan.groups is not None:
+        targets = Targets(
+            tuple(_decode_group(row) for row in plan.groups),
+            tuple(_decode_server(row) for row in plan.servers or ()),
         )
-        for row in plan.groups
+    return Plan(plan.term, plan.sequence, bool(plan.fresh), targets)
+
+
+def _decode_group(row: ttypes.PlanRow) -> PlanRow:
+    return PlanRow(
+        GroupId(row.group),
+        row.epoch,
+        ModelName(row.model),
+        InstanceId(row.head),
+        Address(row.host, row.port),
+    )
+
+
+def _decode_server(row: ttypes.PlainRow) -> PlainRow:
+    return PlainRow(
+        InstanceId(row.instance),
+        ServiceName(row.service_name),
+        Address(row.host, row.port),
+        DataCentre(row.data_centre),
+        row.slots,
     )
-    return Plan(plan.term, plan.sequence, rows)
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from briarpond.ids import DataCentre, GroupId, InstanceId, NodeId
+from briarpond.ids import DataCentre, GroupId, InstanceId, NodeId, ServiceName
 from briarpond.net import Address
 from briarpond.routes import ModelName
 
@@ -32,12 +32,38 @@
     address: Address
 
 
+class PlainRow(msgspec.Struct, frozen=True):
+    """A plain server that takes requests."""
+
+    instance: InstanceId
+    service: ServiceName
+    address: Address
+    data_centre: DataCentre
+    slots: int
+
+
+class Targets(msgspec.Struct, frozen=True):
+    """All groups and plain servers that take requests."""
+
+    groups: tuple[PlanRow, ...] = ()
+    servers: tuple[PlainRow, ...] = ()
+
+
 class Plan(msgspec.Struct, frozen=True):
-    """All groups that serve; the highest term and sequence is the newest."""
+    """Where requests may go; the highest term and sequence is the newest.
+
+    Attributes
+    ----------
+    fresh : bool
+        Whether the sender follows the list of instances without a gap.
+    targets : Targets or None
+        None where the plan of this sequence was sent before and still holds.
+    """
 
     term: int
     sequence: int
-    groups: tuple[PlanRow, ...]
+    fresh: bool
+    targets: Targets | None
 
 
 class Beat(msgspec.Struct, frozen=True):
--- a/briarpond/directory/beats.thrift
+++ b/briarpond/directory/beats.thrift
@@ -28,11 +28,27 @@
   6: required i32 port
 }
 
-/** Groups that serve; `sequence` rises within a term. */
+/** A plain server that takes requests. */
+struct PlainRow {
+  1: required string instance,
+  2: required string service_name,
+  3: required string host,
+  4: required i32 port,
+  5: required string data_centre,
+  6: required i32 slots
+}
+
+/**
+ * Where requests may go; `sequence` rises within a term. Without rows it only says
+ * that the plan of that sequence still holds. `fresh` says that the sender follows
+ * the platform's list without a gap.
+ */
 struct Plan {
   1: required i64 term,
   2: required i64 sequence,
-  3: required list<PlanRow> groups
+  3: optional list<PlanRow> groups,
+  4: optional list<PlainRow> servers,
+  5: optional bool fresh
 }
 
 /** Sign of life of a node. */
--- a/briarpond/directory/gen/beats/ttypes.py
+++ b/briarpond/directory/gen/beats/ttypes.py
@@ -303,22 +303,154 @@
         return not (self == other)
 
 
+class PlainRow(object):
+    """
+    A plain server that takes requests.
+
+    Attributes:
+     - instance
+     - service_name
+     - host
+     - port
+     - data_centre
+     - slots
+
+    """
+
+
+    def __init__(self, instance=None, service_name=None, host=None, port=None, data_centre=None, slots=None,):
+        self.instance = instance
+        self.service_name = service_name
+        self.host = host
+        self.port = port
+        self.data_centre = data_centre
+        self.slots = slots
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlainRow')
+        if self.instance is not None:
+            oprot.writeFieldBegin('instance', TType.STRING, 1)
+            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 5)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 6)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance is None:
+            raise TProtocolException(message='Required field instance is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.port is None:
+            raise TProtocolException(message='Required field port is unset!')
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
+        if self.slots is None:
+            raise TProtocolException(message='Required field slots is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Plan(object):
     """
-    Groups that serve; `sequence` rises within a term.
+    Where requests may go; `sequence` rises within a term. Without rows it only says
+    that the plan of that sequence still holds. `fresh` says that the sender follows
+    the platform's list without a gap.
 
     Attributes:
      - term
      - sequence
      - groups
+     - servers
+     - fresh
 
     """
 
 
-    def __init__(self, term=None, sequence=None, groups=None,):
+    def __init__(self, term=None, sequence=None, groups=None, servers=None, fresh=None,):
         self.term = term
         self.sequence = sequence
         self.groups = groups
+        self.servers = servers
+        self.fresh = fresh
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -350,6 +482,22 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = PlainRow()
+                        _elem11.read(iprot)
+                        self.servers.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.fresh = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -371,10 +519,21 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter6 in self.groups:
-                iter6.write(oprot)
+            for iter12 in self.groups:
+                iter12.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.servers))
+            for iter13 in self.servers:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.fresh is not None:
+            oprot.writeFieldBegin('fresh', TType.BOOL, 5)
+            oprot.writeBool(self.fresh)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -383,8 +542,6 @@
             raise TProtocolException(message='Required field term is unset!')
         if self.sequence is None:
             raise TProtocolException(message='Required field sequence is unset!')
-        if self.groups is None:
-            raise TProtocolException(message='Required field groups is unset!')
         return
 
     def __repr__(self):
@@ -474,32 +631,32 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = ServerRow()
-                        _elem12.read(iprot)
-                        self.servers.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = ServerRow()
+                        _elem19.read(iprot)
+                        self.servers.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = DemandRow()
-                        _elem18.read(iprot)
-                        self.demand.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = DemandRow()
+                        _elem25.read(iprot)
+                        self.demand.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.stalled = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.stalled.append(_elem24)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.stalled.append(_elem31)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -551,22 +708,22 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter25 in self.servers:
-                iter25.write(oprot)
+            for iter32 in self.servers:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter26 in self.demand:
-                iter26.write(oprot)
+            for iter33 in self.demand:
+                iter33.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stalled is not None:
             oprot.writeFieldBegin('stalled', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.stalled))
-            for iter27 in self.stalled:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter34 in self.stalled:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.plan is not None:
@@ -634,12 +791,24 @@
     (5, TType.STRING, 'host', 'UTF8', None, ),  # 5
     (6, TType.I32, 'port', None, None, ),  # 6
 )
+all_structs.append(PlainRow)
+PlainRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+    (5, TType.STRING, 'data_centre', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'slots', None, None, ),  # 6
+)
 all_structs.append(Plan)
 Plan.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.I64, 'sequence', None, None, ),  # 2
     (3, TType.LIST, 'groups', (TType.STRUCT, [PlanRow, None], False), None, ),  # 3
+    (4, TType.LIST, 'servers', (TType.STRUCT, [PlainRow, None], False), None, ),  # 4
+    (5, TType.BOOL, 'fresh', None, None, ),  # 5
 )
 all_structs.append(Beat)
 Beat.thrift_spec = (
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -86,6 +86,7 @@
             self._on_instances,
             self._instances_pace,
             self._on_store_regained,
+            self._needs_list,
         )
         peer_address = Address(settings.host, settings.peer_port)
         self._peers = PeerLink(
@@ -250,6 +251,11 @@
                 offset=entry.offset,
             )
 
+    def _needs_list(self) -> bool:
+        """Whether this node follows the list, instead of being told by the planner."""
+        now = self._clock.now()
+        return self._planner.planning or self._lease.holds(now) or self.state.needs_list(now)
+
     def _instances_pace(self) -> float:
         plans = self._planner.planning or self._lease.holds(self._clock.now())
         return PLANNER_PACE_S if plans else INSTANCES_PACE_S
@@ -271,7 +277,7 @@
             servers=tuple(ServerRow(*row) for row in state.loads.own_rows()),
             demand=state.demand(now),
             stalled=tuple(self._stalled),
-            plan=self._planner.plan(),
+            plan=self._planner.plan(now),
             candidate=self._lease.is_candidate(now),
         )
 
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -3,7 +3,7 @@
 import itertools
 from collections.abc import Callable
 
-from briarpond.directory import Plan, PlanRow
+from briarpond.directory import Plan, PlanRow, Targets
 from briarpond.fleet import MemberState
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.logs import log_event, log_warning
@@ -27,6 +27,11 @@
 STEP_S = 0.1
 # An earlier planner acts for so long after the lease has gone to another.
 TAKE_OVER_S = 1.0
+# A new plan goes along with each heartbeat for so long, later at this interval.
+NEW_PLAN_S = 1.3
+WHOLE_PLAN_S = 1.2
+# A waiting read of the list leaves its age below this.
+VIEW_FRESH_S = 2.6
 ORDER_TIMEOUT_S = 0.4
 PROBE_TIMEOUT_S = 0.3
 # Probes in a row without an answer after which an instance counts as lost.
@@ -51,7 +56,9 @@
         self._peers = peers
         self._planners: dict[ServiceName, Planner] = {}
         self._sequence = 0
-        self._told: tuple[PlanRow, ...] = ()
+        self._told = Targets()
+        self._told_at = 0.0
+        self._sent_whole_at = 0.0
         self._probing: dict[InstanceId, Exchange] = {}
         self._probed_at: dict[InstanceId, float] = {}
         self._term = 0
@@ -67,11 +74,20 @@
         """Begin to look at the lease."""
         self._state.clock.every(STEP_S, self.step)
 
-    def plan(self) -> Plan | None:
-        """Return what the other nodes are told, while this node plans."""
+    def plan(self, now: float) -> Plan | None:
+        """Return what the other nodes are told, while this node plans.
+
+        The targets go along while they are new, and now and then for nodes that
+        have just started or missed them.
+        """
         if not self._planners:
             return None
-        return Plan(self._term, self._sequence, self._told)
+        again = now - self._sent_whole_at >= WHOLE_PLAN_S
+        whole = again or now - self._told_at < NEW_PLAN_S
+        if again:
+            self._sent_whole_at = now
+        targets = self._told if whole else None
+        return Plan(self._term, self._sequence, self._fresh(now), targets)
 
     def check(self, server: InstanceId) -> None:
         """A head stands still: find out which member is lost."""
@@ -178,19 +194,26 @@
         return sums
 
     def _tell(self, now: float) -> None:
-        rows = tuple(
+        groups = tuple(
             row
             for planner in self._planners.values()
             for group in planner.serving(now)
             if (row := self._row(group)) is not None
         )
-        if rows != self._told or self._sequence == 0:
-            self._told = rows
+        targets = Targets(groups, self._state.targets_seen().servers)
+        changed = targets != self._told or self._sequence == 0
+        if changed:
+            self._told = targets
             self._sequence += 1
-            self._state.metrics.groups.set({}, len(rows))
-            self._state.take_plan(Plan(self._term, self._sequence, rows), now)
+            self._told_at = now
+            self._state.metrics.groups.set({}, len(groups))
+        self._state.take_plan(Plan(self._term, self._sequence, self._fresh(now), targets), now)
+        if changed:
             self._peers.send_now()
-        self._state.take_plan(Plan(self._term, self._sequence, rows), now)
+
+    def _fresh(self, now: float) -> bool:
+        seen = self._view_fresh_at()
+        return seen is not None and now - seen < VIEW_FRESH_S
 
     def _row(self, group: PlannedGroup) -> PlanRow | None:
         head = self._state.fleet.get(group.head)
--- a/briarpond/gateway/_registry.py
+++ b/briarpond/gateway/_registry.py
@@ -20,7 +20,7 @@
 
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.5
-READ_EVERY_S = 10.0
+READ_EVERY_S = 30.0
 
 
 class NodeRow(msgspec.Struct):
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -3,9 +3,9 @@
 import random
 from collections import deque
 
-from briarpond.directory import Beat, DemandRow, Plan, PlanRow
+from briarpond.directory import Beat, DemandRow, PlainRow, Plan, PlanRow, Targets
 from briarpond.dispatch import LoadBook, RetryBudget, Work, place_s
-from briarpond.fleet import FleetView, MemberState, groups_of
+from briarpond.fleet import FleetView, InstanceState, MemberState, groups_of
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.net import Clock, HttpClient
 from briarpond.platform import GatewaySettings
@@ -41,7 +41,9 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._avoid: dict[InstanceId, float] = {}
         self._demand: deque[tuple[float, ModelName, float]] = deque()
-        self._own_groups: tuple[int, tuple[PlanRow, ...]] = (-1, ())
+        self._targets = Targets()
+        self._targets_of = (-1, -1)
+        self._seen: tuple[int, Targets] = (-1, Targets())
 
     @property
     def config(self) -> Configuration | None:
@@ -66,16 +68,41 @@
     def take_plan(self, plan: Plan, now: float) -> None:
         """Take the planner's word, unless it is older than what is known."""
         known = self.plan
-        if known is not None and (plan.term, plan.sequence) < (known.term, known.sequence):
+        number = (plan.term, plan.sequence)
+        if known is not None and number < (known.term, known.sequence):
             return
+        if plan.targets is not None:
+            self._targets = plan.targets
+            self._targets_of = number
         self.plan = plan
-        self._plan_at = now
+        if self._targets_of == number:
+            self._plan_at = now
+
+    def plan_holds(self, now: float) -> bool:
+        """Whether the newest plan is known and was repeated a moment ago."""
+        return self.plan is not None and now - self._plan_at <= PLAN_S
+
+    def needs_list(self, now: float) -> bool:
+        """Whether this node must follow the list of instances itself."""
+        return not (self.plan_holds(now) and self.plan is not None and self.plan.fresh)
 
     def groups(self, now: float) -> tuple[PlanRow, ...]:
         """Return the groups that serve."""
-        if self.plan is not None and now - self._plan_at <= PLAN_S:
-            return self.plan.groups
-        return self._groups_seen()
+        return self._targets.groups if self.plan_holds(now) else self.targets_seen().groups
+
+    def servers(self, now: float) -> tuple[PlainRow, ...]:
+        """Return the plain servers that take requests."""
+        if not self.needs_list(now):
+            return self._targets.servers
+        return self.targets_seen().servers or self._targets.servers
+
+    def targets_seen(self) -> Targets:
+        """Return the targets by this node's own view of the list."""
+        version, targets = self._seen
+        if version != self.fleet.version:
+            targets = Targets(self._groups_seen(), self._servers_seen())
+            self._seen = (self.fleet.version, targets)
+        return targets
 
     def avoid(self, server: InstanceId, now: float) -> None:
         """Send nothing to a server for a moment."""
@@ -111,12 +138,15 @@
             self.take_plan(beat.plan, now)
 
     def _groups_seen(self) -> tuple[PlanRow, ...]:
-        version, rows = self._own_groups
-        if version != self.fleet.version:
-            rows = tuple(
-                PlanRow(group.id, group.epoch, group.model, group.head, group.head_address)
-                for group in groups_of(self.fleet.all())
-                if group.state is MemberState.OPEN
-            )
-            self._own_groups = (self.fleet.version, rows)
-        return rows
+        return tuple(
+            PlanRow(group.id, group.epoch, group.model, group.head, group.head_address)
+            for group in groups_of(self.fleet.all())
+            if group.state is MemberState.OPEN
+        )
+
+    def _servers_seen(self) -> tuple[PlainRow, ...]:
+        return tuple(
+            PlainRow(row.id, row.service, row.address, row.data_centre, row.slots)
+            for row in self.fleet.all()
+            if row.state is InstanceState.READY and self.engine(row.service) is None
+        )
--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -13,6 +13,8 @@
 WAIT_S = 2.0
 # A waiting read is answered this much later than asked at the most.
 READ_MARGIN_S = 0.8
+# A feed that nobody needs is looked at again after this time.
+LOOK_AGAIN_S = 0.1
 RETRY_S = 0.25
 RETRY_MOST_S = 1.0
 
@@ -53,6 +55,8 @@
         Takes records in the order of their offsets.
     pace_s : callable
         Returns how long to wait after an answer with records.
+    wanted : callable
+        Whether the topic is followed at present.
 
     Attributes
     ----------
@@ -69,6 +73,7 @@
         on_entries: Callable[[Sequence[Entry]], None],
         pace_s: Callable[[], float] = lambda: 0.0,
         on_regained: Callable[[], None] = lambda: None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         self.fresh_at: float | None = None
         self._store = store
@@ -78,6 +83,7 @@
         self._on_entries = on_entries
         self._pace_s = pace_s
         self._on_regained = on_regained
+        self._wanted = wanted
         self._state = _State.SNAPSHOT
         self._page: list[Entry] = []
         self._after: str | None = None
@@ -95,6 +101,9 @@
         return None if self.fresh_at is None else now - self.fresh_at
 
     def _ask(self) -> None:
+        if self._state is _State.TAIL and not self._wanted():
+            self._clock.after(LOOK_AGAIN_S, self._ask)
+            return
         self._asked_at = self._clock.now()
         if self._state is _State.SNAPSHOT:
             call = newest_call(self._topic, self._after)
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -18,6 +18,11 @@
 PLAIN_QUEUED_MOST = 6
 
 
+MANY_NODES = 20
+FEW_CHOICES = 2
+MORE_CHOICES = 4
+
+
 class Target(msgspec.Struct, frozen=True):
     """A server, the expected time to its first event and whether it takes more."""
 
@@ -39,20 +44,33 @@
     spec = engine.model(model)
     if spec is None:
         return None
-    best: Target | None = None
-    for row in state.groups(now):
-        if row.model != model or row.head in tried or row.head in state.fleet.left:
-            continue
-        if state.avoids(row.head, now):
-            continue
+    rows = [
+        row
+        for row in state.groups(now)
+        if row.model == model
+        and row.head not in tried
+        and row.head not in state.fleet.left
+        and not state.avoids(row.head, now)
+    ]
+    with_room: list[Target] = []
+    without: list[Target] = []
+    for row in rows:
         load = state.loads.load(row.head, now)
         expected = first_event_s(engine, spec, work, load.in_flight, load.unread_tokens)
         room = load.in_flight < engine.slots + QUEUED_MOST
         room = room and not state.loads.is_full(row.head, now)
         target = Target(row.head, row.address, expected, room)
-        if best is None or (target.room, -target.expected_s) > (best.room, -best.expected_s):
-            best = target
-    return best
+        (with_room if room else without).append(target)
+    if not with_room:
+        return min(without, key=lambda target: target.expected_s, default=None)
+    # All nodes know the same loads, a little late: the very best would get all they send.
+    drawn = state.rng.sample(with_room, min(len(with_room), choices_of(state.nodes)))
+    return min(drawn, key=lambda target: target.expected_s)
+
+
+def choices_of(nodes: int) -> int:
+    """Return how many groups are compared for a request, by how many nodes choose."""
+    return FEW_CHOICES if nodes > MANY_NODES else MORE_CHOICES
 
 
 def best_server(
@@ -65,16 +83,19 @@
     """Return the least loaded plain server, one near by where they are equal."""
     best: Target | None = None
     best_rank: tuple[float, bool, float] = (0.0, False, 0.0)
-    for instance in state.fleet.of(service):
-        if instance.id in tried or state.avoids(instance.id, now):
+    for instance in state.servers(now):
+        server = instance.instance
+        if instance.service != service or server in tried or server in state.fleet.left:
+            continue
+        if state.avoids(server, now):
             continue
-        load = state.loads.load(instance.id, now)
-        full = state.loads.is_full(instance.id, now)
+        load = state.loads.load(server, now)
+        full = state.loads.is_full(server, now)
         room = not full and load.in_flight < instance.slots + PLAIN_QUEUED_MOST
         far = instance.data_centre != state.settings.data_centre
         busy = max(0.0, load.in_flight - instance.slots / 2)
         rank = (busy + (instance.slots if full else 0), far, rng.random())
         if best is None or rank < best_rank:
-            best = Target(instance.id, instance.address, 0.0, room)
+            best = Target(server, instance.address, 0.0, room)
             best_rank = rank
     return best
--- a/briarpond/net/_clock.py
+++ b/briarpond/net/_clock.py
@@ -1,4 +1,4 @@
-"""One heap of timers on the monotonic clock for the whole process."""
+"""One heap of timers on the boot-time clock for the whole process."""
 
 import heapq
 import itertools
@@ -32,8 +32,12 @@
         self._order = itertools.count()
 
     def now(self) -> float:
-        """Return the monotonic time in seconds."""
-        return time.monotonic()
+        """Return the time since the machine started, in seconds.
+
+        Unlike the monotonic clock, it counts the time that the machine was
+        suspended: what was learned before that is old.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def after(self, delay_s: float, call: Callable[[], None]) -> Timer:
         """Schedule `call` in `delay_s` seconds."""
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -2,13 +2,17 @@
 
 import random
 
+import msgspec
+
 from briarpond.directory import (
     Beat,
     DemandRow,
     NodeBook,
+    PlainRow,
     Plan,
     PlanRow,
     ServerRow,
+    Targets,
     decode_beat,
     encode_beat,
 )
@@ -29,9 +33,20 @@
         (ServerRow("i", 3, 400),),
         (DemandRow("m", 1.5),),
         ("i",),
-        Plan(3, 9, (PlanRow("g", 3000001, "m", "i", Address("10.0.0.2", 81)),)),
+        Plan(
+            3,
+            9,
+            True,
+            Targets(
+                (PlanRow("g", 3000001, "m", "i", Address("10.0.0.2", 81)),),
+                (PlainRow("p", "desk", Address("10.0.0.3", 82), "a", 6),),
+            ),
+        ),
+        True,
     )
     assert decode_beat(encode_beat(sent)).ok == sent
+    repeated = msgspec.structs.replace(sent, plan=Plan(3, 9, False, None))
+    assert decode_beat(encode_beat(repeated)).ok == repeated
 
 
 def test_cut_heartbeats_are_errors_and_nothing_else():
@@ -50,3 +65,22 @@
     own = beat("own", ready=False)
     assert len(book.addresses(own, "a", random.Random(1), 10.5)) == 2
     assert book.count(10.5) == 5
+
+
+def test_few_nodes_apply_for_the_lease():
+    books = {name: NodeBook(name) for name in "abcdefgh"}
+    for book in books.values():
+        for name in books:
+            book.put(beat(name), 10.0)
+    assert [name for name, book in books.items() if book.should_apply(3, 10.1)] == ["a", "b", "c"]
+
+
+def test_next_node_applies_when_one_is_lost():
+    book = NodeBook("d")
+    for name in "abc":
+        book.put(msgspec.structs.replace(beat(name), candidate=name != "b"), 10.0)
+    assert not book.should_apply(3, 10.1)
+    book = NodeBook("d")
+    for name in "ac":
+        book.put(msgspec.structs.replace(beat(name), candidate=True), 10.0)
+    assert book.should_apply(3, 10.1)
