--- a/briarpond/gateway/_ingress.py
+++ b/briarpond/gateway/_ingress.py
@@ -42,7 +42,8 @@
         self._state = state
         self._config_age = config_age
         self._tell_stalled = on_stalled
-        self._runs: set[RequestRun] = set()
+        # In the order of arrival, so that equal requests wait their turn.
+        self._runs: dict[RequestRun, None] = {}
         self._waiting_timer = False
 
     @property
@@ -82,10 +83,10 @@
             route,
             choose_service(route, state.rng),
             table.tenant(key),
-            self._runs.discard,
+            self._forget,
             self._on_stalled,
         )
-        self._runs.add(run)
+        self._runs[run] = None
         run.start()
         self._watch_waiting()
 
@@ -101,6 +102,9 @@
         for run in waiting:
             run.try_send()
 
+    def _forget(self, run: RequestRun) -> None:
+        self._runs.pop(run, None)
+
     def _keys_fresh(self) -> bool:
         age = self._config_age(self._state.clock.now())
         return age is not None and age < self._state.settings.bounds.revoke_s * KEYS_FRESH_SHARE
--- /dev/null
+++ b/tests/gateway/world.py
@@ -0,0 +1,173 @@
+"""A gateway's request with scripted servers, in virtual time and without sockets."""
+
+import heapq
+import itertools
+from pathlib import Path
+
+from briarpond.directory import Plan, PlanRow, Targets
+from briarpond.fleet import InstanceState
+from briarpond.gateway._ingress import Ingress
+from briarpond.gateway._state import NodeState
+from briarpond.net import Address, HttpRequest, LossReason
+from briarpond.platform import decode_configuration, decode_instance, load_gateway_settings
+from briarpond.routes import RouteTable
+
+from ..platform_samples import CONFIG, SETTINGS, config_bytes, server_bytes
+
+STAMP = ("x-briarpond-server-stamp", "s.1")
+
+
+class VirtualClock:
+    def __init__(self) -> None:
+        self.time = 100.0
+        self._heap: list = []
+        self._order = itertools.count()
+
+    def now(self) -> float:
+        return self.time
+
+    def after(self, delay, call):
+        heapq.heappush(self._heap, (self.time + delay, next(self._order), call))
+
+    def every(self, interval, call):
+        def run():
+            self.after(interval, run)
+            call()
+
+        self.after(0.0, run)
+
+    def advance(self, seconds):
+        end = self.time + seconds
+        while self._heap and self._heap[0][0] <= end:
+            self.time, _, call = heapq.heappop(self._heap)
+            call()
+        self.time = end
+
+
+class Sent:
+    """One send that a server has received, for the test to answer."""
+
+    def __init__(self, call) -> None:
+        self.call = call
+        self.cancelled = False
+        call.on_sent()
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+    def header(self, name):
+        return next((value for each, value in self.call.headers if each == name), None)
+
+    def head(self, status=200, *headers):
+        self.call.on_head(status, tuple(headers))
+
+    def whole(self, status=200, body=b"ok", *headers):
+        self.head(status, *headers)
+        self.call.on_body(body)
+        self.call.on_end()
+
+
+class Client:
+    """Takes the calls; addresses in `dead` refuse the connection."""
+
+    def __init__(self, clock) -> None:
+        self.clock = clock
+        self.sent: list[Sent] = []
+        self.dead: set[Address] = set()
+
+    def start(self, call):
+        if call.address in self.dead:
+            self.clock.after(0.0, lambda: call.on_lost(LossReason.CONNECT_FAILED))
+            return Refused()
+        sent = Sent(call)
+        self.sent.append(sent)
+        return sent
+
+    @property
+    def open(self):
+        return [sent for sent in self.sent if not sent.cancelled]
+
+
+class Refused:
+    def cancel(self) -> None:
+        pass
+
+
+class Reply:
+    def __init__(self) -> None:
+        self.status = None
+        self.headers = ()
+        self.body = b""
+        self.ended = False
+        self.aborted = False
+        self.on_gone = None
+
+    def whole(self, status, headers, body):
+        assert not self.ended
+        self.status, self.headers, self.body, self.ended = status, headers, body, True
+
+    def start(self, status, headers):
+        self.status, self.headers = status, headers
+
+    def write(self, data):
+        self.body += data
+
+    def end(self):
+        assert not self.ended
+        self.ended = True
+
+    def abort(self):
+        self.ended = self.aborted = True
+
+    def header(self, name):
+        return next((value for each, value in self.headers if each.lower() == name), None)
+
+
+class Gateway:
+    """A node's ingress with two groups of each model and three plain servers."""
+
+    def __init__(self, tmp_path: Path, heads=("h1", "h2", "h3")) -> None:
+        path = tmp_path / "node.yaml"
+        path.write_text(SETTINGS)
+        self.clock = VirtualClock()
+        self.client = Client(self.clock)
+        self.state = NodeState(load_gateway_settings(path).ok, self.clock, self.client)
+        plan, *others = CONFIG["routes"]
+        routes = [{**plan, "split": [], "service": "pool"}, *others]
+        self.state.table = RouteTable(decode_configuration(config_bytes(routes=routes)).ok)
+        self.state.rng.seed(1)
+        self.age = 0.1
+        self.stalled: list = []
+        self.ingress = Ingress(self.state, lambda now: self.age, self.stalled.append)
+        for n in range(3):
+            entry = server_bytes(service="desk", addr=f"10.9.0.{n + 1}:80", slots=6, group=None)
+            self.state.fleet.put(decode_instance(f"p{n}", entry).ok, self.clock.now())
+        assert all(row.state is InstanceState.READY for row in self.state.fleet.all())
+        self.plan(heads)
+
+    def plan(self, heads) -> None:
+        rows = tuple(
+            PlanRow(f"g-{head}", 1, "big", head, Address("10.8.0.1", 80 + n))
+            for n, head in enumerate(heads)
+        )
+        sequence = 1 if self.state.plan is None else self.state.plan.sequence + 1
+        plan = Plan(1, sequence, False, Targets(rows, ()))
+        self.state.take_plan(plan, self.clock.now())
+
+    def ask(self, target, method="POST", key="key-a", deadline_ms=8000, **headers):
+        pairs = [
+            ("host", "shop.example"),
+            ("x-briarpond-request-id", f"r{len(self.client.sent)}"),
+            ("x-briarpond-deadline-ms", str(deadline_ms)),
+        ]
+        if key is not None:
+            pairs.append(("authorization", f"Bearer {key}"))
+        pairs += [(name.replace("_", "-"), value) for name, value in headers.items()]
+        reply = Reply()
+        request = HttpRequest(method, target, tuple(pairs), b"body", self.clock.now())
+        self.ingress.handle(request, reply)
+        return reply
+
+    def stream(self, **headers):
+        model = {"x_briarpond_model": "big", "x_briarpond_token_usage": "979,154"}
+        return self.ask("/plan/x", **model, **headers)
