--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -9,48 +9,48 @@
     """All metrics of one node; docs/ref/gateway.md lists them."""
 
     def __init__(self) -> None:
-        self._registry = Registry()
+        self.registry = Registry()
         self.requests = Counter(
             "briarpond_gateway_requests_total",
             "Requests by route kind and status.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self.sends = Counter(
             "briarpond_gateway_sends_total",
             "Sends to servers by how they ended.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self.first_byte = Histogram(
             "briarpond_gateway_first_byte_seconds",
             "From the whole request to the first byte of its answer.",
             buckets=_SECONDS,
-            registry=self._registry,
+            registry=self.registry,
         )
         self.duration = Histogram(
             "briarpond_gateway_request_seconds",
             "From the whole request to the end of its answer.",
             buckets=_SECONDS,
-            registry=self._registry,
+            registry=self.registry,
         )
         self.orders = Counter(
             "briarpond_gateway_orders_total",
             "Orders to instances by kind and status.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self.groups = Gauge(
-            "briarpond_gateway_groups", "Groups that serve.", registry=self._registry
+            "briarpond_gateway_groups", "Groups that serve.", registry=self.registry
         )
         self.config_version = Gauge(
             "briarpond_gateway_config_version",
             "Version of the configuration in force.",
-            registry=self._registry,
+            registry=self.registry,
         )
         self.dropped_lines = Gauge(
             "briarpond_gateway_log_lines_dropped",
             "Log lines that the output did not take.",
-            registry=self._registry,
+            registry=self.registry,
         )
 
     def render(self, accept: str | None) -> tuple[bytes, dict[str, str]]:
         """Return the exposition text and its headers."""
-        return render(self._registry, [accept] if accept else [])
+        return render(self.registry, [accept] if accept else [])
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,6 +8,7 @@
 
 from briarpond.conf import Settings
 from briarpond.configuration import Document
+from briarpond.gateway._metrics import GatewayMetrics
 from briarpond.management._cli import command_line
 from briarpond.metrics import Metrics
 from briarpond.requests import RefusalCode
@@ -69,6 +70,58 @@
     assert [name for name in names if f"`{name}`" not in text] == []
 
 
+def test_every_metric_of_the_gateway_is_in_the_reference():
+    text = (DOCS / "ref/gateway.md").read_text()
+    names = [collector.name for collector in GatewayMetrics().registry.get_all()]
+    assert len(names) > 5
+    assert [name for name in names if f"`{name}`" not in text] == []
+
+
+def test_every_log_event_of_the_gateway_is_in_the_reference():
+    text = (DOCS / "ref/gateway.md").read_text()
+    source = "".join(path.read_text() for path in (ROOT / "briarpond/gateway").glob("*.py"))
+    names = set(re.findall(r"log_(?:event|warning|fatal_event)\(\s*\"([a-z_]+)\"", source))
+    assert "request" in names
+    assert [name for name in names if f"`{name}`" not in text] == []
+
+
+def test_every_settings_problem_of_the_gateway_is_in_the_reference():
+    text = (DOCS / "ref/gateway.md").read_text()
+    source = (ROOT / "briarpond/platform/_settings.py").read_text()
+    codes = set(re.findall(r"gateway\.E\d+", source))
+    assert codes and [code for code in codes if f"`{code}`" not in text] == []
+
+
+def test_only_the_adapter_knows_the_names_of_the_platform():
+    names = re.compile(
+        r"X-Briarpond-|x-briarpond-|kvUsed|coldLeftMs|pathPrefix|gapGoalMs|log-append|log-newest"
+        r"|keyed\.(op|servers|status)|formMs|BRIARPOND_SETTINGS|closeMode"
+    )
+    found = [
+        str(path.relative_to(ROOT))
+        for path in (ROOT / "briarpond").rglob("*.py")
+        if "platform" not in path.relative_to(ROOT / "briarpond").parts
+        and names.search(path.read_text())
+    ]
+    assert found == []
+
+
+DECIDING = ("routes", "fleet", "placement", "dispatch", "directory")
+
+
+@pytest.mark.parametrize("package", DECIDING)
+def test_packages_that_decide_know_no_face(package):
+    faces = re.compile(r"briarpond\.(gateway|daemon|platform|ports)")
+    for path in (ROOT / "briarpond" / package).rglob("*.py"):
+        assert not faces.search(path.read_text()), path
+
+
+def test_requirements_of_the_deployment_are_those_of_the_project():
+    project = (ROOT / "pyproject.toml").read_text()
+    for line in (ROOT / "requirements.txt").read_text().split():
+        assert f'"{line}"' in project
+
+
 def test_links_lead_somewhere():
     broken = []
     for page in [*DOCS.rglob("*.md"), ROOT / "README.md"]:
