No queue at groups beyond their places; short holds; a new group's head is not avoided

Cause: under steady overload each request that queues at a full group is late, and those behind it as well; a late answer is worth a quarter and takes the same place. A head that had stood still was avoided for 1 s although it headed a new group. Change: a group gets as many requests as it has places; a request waits at the node 0.35 of its goal; a new group clears what was held against its head.

--- a/briarpond/dispatch/_admission.py
+++ b/briarpond/dispatch/_admission.py
@@ -7,7 +7,7 @@
 # Requests that wait at a full group, for each of its places, before others wait here.
 WAITING_PER_PLACE = 0.35
 # Part of the goal that a request may wait at this node for a place.
-HOLD_SHARE = 0.6
+HOLD_SHARE = 0.35
 
 
 class VerdictKind(Enum):
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -72,12 +72,20 @@
         if known is not None and number < (known.term, known.sequence):
             return
         if plan.targets is not None:
+            self._welcome_new(plan.targets)
             self._targets = plan.targets
             self._targets_of = number
         self.plan = plan
         if self._targets_of == number:
             self._plan_at = now
 
+    def _welcome_new(self, targets: Targets) -> None:
+        """A head that was avoided serves again once it heads a new group."""
+        known = {(row.head, row.epoch) for row in self._targets.groups}
+        for row in targets.groups:
+            if (row.head, row.epoch) not in known:
+                self._avoid.pop(row.head, None)
+
     def plan_holds(self, now: float) -> bool:
         """Whether the newest plan is known and was repeated a moment ago."""
         return self.plan is not None and now - self._plan_at <= PLAN_S
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -13,7 +13,7 @@
 from ._state import NodeState
 
 # Requests beyond its places that a group is given to queue.
-QUEUED_MOST = 2
+QUEUED_MOST = 0
 # Requests beyond its places that a plain server is given to queue.
 PLAIN_QUEUED_MOST = 6
 
