--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -478,11 +478,13 @@
         now: float,
     ) -> bool:
         """Form one group of instances that can join soon, if enough spares stay."""
+        if not rows:
+            return False
         soon = [row for row in rows if self._joins_soon(row, spec)]
         satisfaction = self._satisfaction(spec, demand)
         spares = SPARES_PER_MODEL if satisfaction >= AMPLE else 0
         if not self._loads.counts:
-            if satisfaction >= ENOUGH:
+            if self._groups_in(rows, spec) >= self._quota(rows, spec):
                 return False
             spares = SPARES_AT_START
         if len(soon) < spec.size + spares:
@@ -497,6 +499,23 @@
         self._add(spec, tuple(row.id for row in chosen), Stage.JOINING, now)
         return True
 
+    def _quota(self, rows: list[Instance], spec: ModelSpec) -> int:
+        """Return how many groups a domain begins with, by the model's expected share."""
+        domain = rows[0].domain
+        count = sum(1 for row in self._instances.values() if row.domain == domain)
+        total = sum(model.share for model in self._engine.models) or 1.0
+        return round(count * SHARE_IN_GROUPS * spec.share / total / spec.size)
+
+    def _groups_in(self, rows: list[Instance], spec: ModelSpec) -> int:
+        """Return how many groups of a model a domain has."""
+        domain = rows[0].domain
+        heads = [
+            self._instances.get(group.head)
+            for group in self.groups.values()
+            if group.model == spec.name and group.stage is not Stage.PREPARING
+        ]
+        return sum(1 for head in heads if head is not None and head.domain == domain)
+
     def _joins_soon(self, row: Instance, spec: ModelSpec) -> bool:
         """Whether an instance joins without a load, or loads are still quick."""
         if row.id in self._preparing():
@@ -540,17 +559,25 @@
             idle = [row for row in rows if row.id not in preparing]
             blank = [row for row in idle if row.id not in self._last_model]
             for row in blank:
-                self._prepare_one(row, self._model_lacked(have, len(blank)), have, now)
+                self._prepare_one(row, self._model_lacked(have, len(blank), demand), have, now)
             if not blank and not any(row.id in preparing for row in rows):
                 self._convert(idle, have, demand, now)
 
-    def _model_lacked(self, have: Mapping[ModelName, int], blank: int) -> ModelSpec:
-        """Return the model whose next group lacks fewest instances, then one without a spare."""
+    def _model_lacked(
+        self, have: Mapping[ModelName, int], blank: int, demand: Mapping[ModelName, float]
+    ) -> ModelSpec:
+        """Return the model for an instance that knows none.
+
+        First one whose next group can be completed, then one that callers lack, then
+        the one with fewest spares; a large group loses most with one member.
+        """
 
-        def lack(spec: ModelSpec) -> tuple[bool, int]:
-            missing = spec.size - have.get(spec.name, 0) % spec.size
-            started = have.get(spec.name, 0) % spec.size > 0
-            return not (started and missing <= blank), have.get(spec.name, 0) * spec.size
+        def lack(spec: ModelSpec) -> tuple[bool, bool, int, int]:
+            have_now = have.get(spec.name, 0)
+            missing = spec.size - have_now % spec.size
+            completes = have_now % spec.size > 0 and missing <= blank
+            ample = self._satisfaction(spec, demand) >= AMPLE
+            return not completes, ample, have_now * spec.size, -spec.size
 
         return min(self._engine.models, key=lack)
 
