--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -9,13 +9,13 @@
 
 from ._store_link import StoreLink
 
-RENEW_S = 0.5
+RENEW_S = 0.3
 FIRST_APPLY_S = 0.3
 # So many nodes apply for the lease; more would only move it more often.
 CANDIDATES = 3
-CALL_TIMEOUT_S = 0.45
+CALL_TIMEOUT_S = 0.4
 # The holder stops this much before the store may give the lease to another.
-MARGIN_S = 0.2
+MARGIN_S = 0.1
 
 
 class Lease:
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -36,7 +36,7 @@
 from ._planner_link import PlannerLink
 from ._registry import NodeRegistry
 from ._state import NodeState
-from ._store_link import Feed, StoreLink
+from ._store_link import WAIT_S, Feed, StoreLink
 
 DIRECTORY_TTL_S = 1.0
 # Callers keep an answer of the directory up to three times its lifetime.
@@ -45,6 +45,8 @@
 LAST_WORD_S = 0.5
 INSTANCES_PACE_S = 0.5
 PLANNER_PACE_S = 0.05
+# A node that is about to plan reads the list often, to see all that was done before.
+TAKE_OVER_WAIT_S = 0.05
 HOUSEKEEPING_S = 1.0
 STOP_EVERY_S = 0.05
 # Callers are sent elsewhere before the node has to refuse their keys.
@@ -87,6 +89,7 @@
             self._instances_pace,
             self._on_store_regained,
             self._needs_list,
+            lambda: TAKE_OVER_WAIT_S if self._planner.taking_over else WAIT_S,
         )
         peer_address = Address(settings.host, settings.peer_port)
         self._peers = PeerLink(
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -27,6 +27,8 @@
 STEP_S = 0.1
 # An earlier planner acts for so long after the lease has gone to another.
 TAKE_OVER_S = 1.0
+# Where no other planner is heard, its lease has lapsed on its own clock before.
+LAPSED_S = 0.3
 # A new plan goes along with each heartbeat for so long, later at this interval.
 NEW_PLAN_S = 1.3
 WHOLE_PLAN_S = 1.2
@@ -127,7 +129,13 @@
         if seen is not None and seen >= began and self._no_groups():
             # Nobody has formed a group yet, and none opens faster than orders are fenced.
             return True
-        return now - began >= TAKE_OVER_S and seen is not None and seen >= began + TAKE_OVER_S
+        wait_s = TAKE_OVER_S if self._state.hears_planner(now) else LAPSED_S
+        return now - began >= wait_s and seen is not None and seen >= began + wait_s
+
+    @property
+    def taking_over(self) -> bool:
+        """Whether the lease is held and planning has not begun."""
+        return not self._planners and self._lease.holds(self._state.clock.now())
 
     def _joining(self, service: ServiceName) -> int:
         return sum(
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -15,6 +15,8 @@
 
 # A plan that was not repeated for so long gives way to the node's own view.
 PLAN_S = 1.5
+# A planner that was silent for so long has stopped, or has lost its lease.
+PLANNER_SILENT_S = 0.9
 # A server that did not take a connection, or whose streams stand still, rests so long.
 AVOID_S = 1.0
 DEMAND_WINDOW_S = 4.0
@@ -38,6 +40,7 @@
         self.plan: Plan | None = None
         self.nodes = 1
         self._plan_at = float("-inf")
+        self._planner_heard_at = float("-inf")
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._avoid: dict[InstanceId, float] = {}
         self._demand: deque[tuple[float, ModelName, float]] = deque()
@@ -86,6 +89,10 @@
             if (row.head, row.epoch) not in known:
                 self._avoid.pop(row.head, None)
 
+    def hears_planner(self, now: float) -> bool:
+        """Whether another node said a moment ago that it plans."""
+        return now - self._planner_heard_at < PLANNER_SILENT_S
+
     def plan_holds(self, now: float) -> bool:
         """Whether the newest plan is known and was repeated a moment ago."""
         return self.plan is not None and now - self._plan_at <= PLAN_S
@@ -143,6 +150,7 @@
         for server in beat.stalled:
             self.avoid(server, now)
         if beat.plan is not None:
+            self._planner_heard_at = now
             self.take_plan(beat.plan, now)
 
     def _groups_seen(self) -> tuple[PlanRow, ...]:
--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -57,6 +57,8 @@
         Returns how long to wait after an answer with records.
     wanted : callable
         Whether the topic is followed at present.
+    wait_s : callable
+        Returns how long a read waits for the next record.
 
     Attributes
     ----------
@@ -74,6 +76,7 @@
         pace_s: Callable[[], float] = lambda: 0.0,
         on_regained: Callable[[], None] = lambda: None,
         wanted: Callable[[], bool] = lambda: True,
+        wait_s: Callable[[], float] = lambda: WAIT_S,
     ) -> None:
         self.fresh_at: float | None = None
         self._store = store
@@ -84,6 +87,8 @@
         self._pace_s = pace_s
         self._on_regained = on_regained
         self._wanted = wanted
+        self._wait_s = wait_s
+        self._waits_s = 0.0
         self._state = _State.SNAPSHOT
         self._page: list[Entry] = []
         self._after: str | None = None
@@ -109,7 +114,8 @@
             call = newest_call(self._topic, self._after)
             self._store.call(call, CALL_TIMEOUT_S, self._got_page, self._lost)
         else:
-            wait_s = WAIT_S if self._failures == 0 else 0.0
+            wait_s = self._wait_s() if self._failures == 0 else 0.0
+            self._waits_s = wait_s
             call = records_call(self._topic, self._offset, wait_s)
             self._store.call(call, wait_s + READ_MARGIN_S, self._got_records, self._lost)
 
@@ -153,7 +159,9 @@
         waited = self._failures == 0 and not entries
         self._offset = max(self._offset, next_offset)
         # An answer without records says that there were none when the wait ended.
-        self.fresh_at = max(self._asked_at, min(now, self._asked_at + WAIT_S) if waited else 0.0)
+        self.fresh_at = max(
+            self._asked_at, min(now, self._asked_at + self._waits_s) if waited else 0.0
+        )
         self._succeeded()
         if entries:
             self._on_entries(entries)
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -569,18 +569,34 @@
         """Return the model for an instance that knows none.
 
         First one whose next group can be completed, then one that callers lack, then
-        the one with fewest spares; a large group loses most with one member.
+        one with few spares in all domains for its size: a large group loses most with
+        one member.
         """
+        spares = self._spares()
 
-        def lack(spec: ModelSpec) -> tuple[bool, bool, int, int]:
+        def lack(spec: ModelSpec) -> tuple[bool, bool, float, int]:
             have_now = have.get(spec.name, 0)
             missing = spec.size - have_now % spec.size
             completes = have_now % spec.size > 0 and missing <= blank
             ample = self._satisfaction(spec, demand) >= AMPLE
-            return not completes, ample, have_now * spec.size, -spec.size
+            return not completes, ample, spares[spec.name] / spec.size, -spec.size
 
         return min(self._engine.models, key=lack)
 
+    def _spares(self) -> dict[ModelName, int]:
+        """Return how many idle instances know each model, or are about to."""
+        grouped = {
+            member
+            for group in self.groups.values()
+            if group.stage is not Stage.PREPARING
+            for member in group.members
+        }
+        spares: dict[ModelName, int] = defaultdict(int)
+        for instance_id, model in self._last_model.items():
+            if instance_id not in grouped and self._usable(instance_id):
+                spares[model] += 1
+        return spares
+
     def _prepare_one(
         self, row: Instance, spec: ModelSpec, have: dict[ModelName, int], now: float
     ) -> bool:
