--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -98,6 +98,8 @@
             return
         self._lost_count = 0
         held = self.holds(self._clock.now())
+        if answer.ok.term != self.term:
+            log_event("lease_term", term=answer.ok.term, parts=answer.ok.parts, known=self.term)
         self.term = max(self.term, answer.ok.term)
         self._holds = answer.ok.holds
         self._granted_at = asked_at
--- a/briarpond/platform/_store.py
+++ b/briarpond/platform/_store.py
@@ -57,6 +57,7 @@
 
     term: int
     holds: bool
+    parts: int
 
 
 def read_newest(topic: str, after: str | None) -> StoreCall:
@@ -158,7 +159,7 @@
     except msgspec.MsgspecError as exc:
         return Error(str(exc))
     holds = any(part == 0 for _, part, _ in answer.parts)
-    return Ok(LeaseAnswer(answer.generation, holds))
+    return Ok(LeaseAnswer(answer.generation, holds, len(answer.parts)))
 
 
 def _value(text: str | None) -> bytes | None:
