Slow members are found by the pace of events and replaced where a spare is ready

Change: nodes compare the pauses between events of heads of one model; a head beyond 2.5 times the median is told to the planner, which asks the members for their pace and replaces a slow one where the domain has a spare that joins without a load.

--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -4,6 +4,7 @@
 from ._budget import RetryBudget
 from ._events import EventSplitter
 from ._load import GroupLoad, LoadBook
+from ._pace import PaceBook
 from ._recovery import Failure, NextStep, Progress, next_step
 from ._speed import Work, first_event_s, place_s
 
@@ -13,6 +14,7 @@
     "GroupLoad",
     "LoadBook",
     "NextStep",
+    "PaceBook",
     "Progress",
     "RetryBudget",
     "Verdict",
--- a/briarpond/gateway/_ingress.py
+++ b/briarpond/gateway/_ingress.py
@@ -160,6 +160,10 @@
         for run in list(self._runs):
             if run.server in silent:
                 run.stalled(now)
+        for server in self._state.paces.slow(now):
+            log_event("head_slow", server=server)
+            self._state.paces.forget(server)
+            self._on_stalled(server)
         self._watch_waiting()
 
     def _on_stalled(self, server: InstanceId) -> None:
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -38,7 +38,8 @@
 PROBE_TIMEOUT_S = 0.3
 # Probes in a row without an answer after which an instance counts as lost.
 PROBES_MISSED = 2
-PROBE_LOST_EVERY_S = 1.0
+# Lost and slow instances are asked again after this time.
+PROBE_AGAIN_S = 1.0
 JSON = (("Content-Type", "application/json"),)
 
 
@@ -171,10 +172,8 @@
         planner = self._planners.get(spec.name) or self._begin(spec, now)
         state = self._state
         planner.update([row for row in state.fleet.all() if row.service == spec.name], now)
-        for instance, since in list(planner.lost.items()):
-            if state.fleet.get(instance) is None:
-                continue
-            if now - max(since, self._probed_at.get(instance, since)) > PROBE_LOST_EVERY_S:
+        for instance in (*planner.lost, *planner.slow):
+            if now - self._probed_at.get(instance, now) > PROBE_AGAIN_S:
                 self._probe(planner, instance, 0)
         for order in planner.step(self._demand(now), now):
             self._send(planner, order)
@@ -287,7 +286,7 @@
                 log_event("instance_back", instance=instance)
             planner.mark_alive(instance)
             if report.is_ok():
-                planner.mark_slow(instance, report.ok.pace > SLOW_PACE)
+                self._note_pace(planner, instance, report.ok.pace)
 
         def lost(reason: LossReason) -> None:
             self._probing.pop(instance, None)
@@ -303,6 +302,12 @@
             row.address, "GET", REPORT_TARGET, (), b"", PROBE_TIMEOUT_S, done, lost
         )
 
+    def _note_pace(self, planner: Planner, instance: InstanceId, pace: float) -> None:
+        slow = pace > SLOW_PACE
+        if slow != (instance in planner.slow):
+            log_event("instance_pace", instance=instance, pace=pace, slow=slow)
+        planner.mark_slow(instance, slow)
+
     def _log_stages(self, planner: Planner) -> None:
         present = {}
         for group in planner.groups.values():
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -274,6 +274,8 @@
 
     def _got_body(self, data: bytes) -> None:
         now = self._state.clock.now()
+        if self._streams and self.began and self.server is not None:
+            self._state.paces.note(self.server, self.model, now - self.last_progress, now)
         self.last_progress = now
         if not self._streams:
             self._answer += data
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from briarpond.directory import Beat, DemandRow, PlainRow, Plan, PlanRow, Targets
-from briarpond.dispatch import LoadBook, RetryBudget, Work, place_s
+from briarpond.dispatch import LoadBook, PaceBook, RetryBudget, Work, place_s
 from briarpond.fleet import FleetView, InstanceState, MemberState, groups_of
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.net import Clock, HttpClient
@@ -35,6 +35,7 @@
         self.table: RouteTable | None = None
         self.fleet = FleetView()
         self.loads = LoadBook()
+        self.paces = PaceBook()
         self.metrics = GatewayMetrics()
         self.leaving = False
         self.plan: Plan | None = None
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -80,7 +80,7 @@
         self._last_model: dict[InstanceId, ModelName] = {}
         self._born: dict[InstanceId, int] = {}
         self._instances: dict[InstanceId, Instance] = {}
-        self._slow: set[InstanceId] = set()
+        self.slow: set[InstanceId] = set()
         self._free_since: dict[InstanceId, float] = {}
         self._released: dict[tuple[GroupId, int], float] = {}
 
@@ -112,9 +112,9 @@
     def mark_slow(self, instance: InstanceId, slow: bool) -> None:
         """An instance says that it works slowly, or no longer so."""
         if slow:
-            self._slow.add(instance)
+            self.slow.add(instance)
         else:
-            self._slow.discard(instance)
+            self.slow.discard(instance)
 
     def mark_stuck(self, group_id: GroupId, now: float) -> None:
         """A group stands still though its members answer: take it apart."""
@@ -164,6 +164,7 @@
         for group in list(self.groups.values()):
             orders += self._drive(group, now)
         free = self._free_by_domain(now)
+        self._replace_slow(free, now)
         for domain in sorted(free, key=lambda each: -len(free[each])):
             self._form_in(domain, free, demand, now)
         self._note_free(free, now)
@@ -411,13 +412,25 @@
         for instance in self._instances.values():
             if instance.id in taken or not self._usable(instance.id):
                 continue
-            if now < self._blocked_until.get(instance.id, now) or instance.id in self._slow:
+            if now < self._blocked_until.get(instance.id, now) or instance.id in self.slow:
                 continue
             if self._may_leave(instance, heads):
                 self._blocked_until.pop(instance.id, None)
                 free[instance.domain].append(instance)
         return free
 
+    def _replace_slow(self, free: Mapping[FabricDomain, list[Instance]], now: float) -> None:
+        """Take groups apart that a slow member holds up, where spares can replace it."""
+        for group in list(self.groups.values()):
+            slow = [member for member in group.members if member in self.slow]
+            spec = self._engine.model(group.model)
+            head = self._instances.get(group.head)
+            if group.stage is not Stage.OPEN or not slow or spec is None or head is None:
+                continue
+            spares = [row for row in free.get(head.domain, ()) if self._joins_soon(row, spec)]
+            if len(spares) >= len(slow):
+                self._begin_close(group, True, now)
+
     def _note_free(self, free: Mapping[FabricDomain, list[Instance]], now: float) -> None:
         """Remember since when instances are idle."""
         ids = {row.id for rows in free.values() for row in rows}
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -7,6 +7,7 @@
 from briarpond.dispatch import (
     EventSplitter,
     LoadBook,
+    PaceBook,
     RetryBudget,
     VerdictKind,
     Work,
@@ -85,6 +86,26 @@
     assert place_s(ENGINE, SMALL, USUAL) < place_s(ENGINE, BIG, USUAL)
 
 
+def test_slow_head_is_told_by_its_like():
+    """Pattern: one member of a group works four times slower; its head answers all the same."""
+    book = PaceBook()
+    for tick in range(20):
+        now = tick * 0.05
+        for head, gap in (("a", 0.05), ("b", 0.06), ("c", 0.05), ("d", 0.2)):
+            book.note(head, "big", gap, now)
+    assert book.slow(1.0) == ["d"]
+    book.forget("d")
+    assert book.slow(1.0) == [] and book.slow(9.0) == []
+
+
+def test_pace_needs_something_to_compare_with():
+    book = PaceBook()
+    for _ in range(20):
+        book.note("a", "big", 0.9, 1.0)
+        book.note("b", "small", 0.05, 1.0)
+    assert book.slow(1.0) == []
+
+
 def test_verdicts():
     assert judge(0.1, True, 0.0, 0.4, 8.0, 0.4).kind is VerdictKind.SEND
     assert judge(None, False, 0.0, 0.4, 8.0, 0.4).kind is VerdictKind.HOLD
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -54,6 +54,21 @@
     assert not world.problems
 
 
+def test_slow_member_is_replaced_only_where_a_spare_can_join_soon():
+    world, planner = calm()
+    group = next(g for g in planner.groups.values() if g.model == "big")
+    planner.mark_slow(group.members[1], True)
+    world.run(planner, 2.0, DEMAND)
+    members = {m for g in planner.groups.values() for m in g.members}
+    assert group.id not in planner.groups and group.members[1] not in members
+    held = [g for g in planner.groups.values() if g.stage is Stage.OPEN and g.model == "big"]
+    for each in held:
+        for member in each.members:
+            planner.mark_slow(member, True)
+    world.run(planner, 2.0, DEMAND)
+    assert all(each.id in planner.groups for each in held) and not world.problems
+
+
 def test_idle_spares_keep_their_models():
     """Spares of two models are not reloaded into one more small group."""
     world, planner = calm()
