Fault soak: real gateways, a loopback proxy, signals, an own store and engines

Change: tests/soak plays seeds against real processes; checks own whole answers, true refusals, one run, whole groups, one group an instance, graceful ends.

--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,17 @@
+"""A short seeded run of the soak, and seeds that failed before."""
+
+import asyncio
+
+import pytest
+
+from .run import soak
+
+# Seeds that found something once, each with its cause.
+REGRESSIONS: dict[int, str] = {}
+
+
+@pytest.mark.parametrize("seed", [1, *REGRESSIONS])
+def test_promises_hold_while_faults_overlap(seed, tmp_path):
+    world = asyncio.run(soak(seed, tmp_path, nodes=3, seconds=6.0))
+    assert world.checks.problems == []
+    assert world.served > 0
