The configuration is confirmed by echoes of the nodes that read it

Change: a node's heartbeat carries its clock; the candidates for the lease answer with that clock, the newest version and the age of what they know. A node of that version needs no read of its own; a newer version, or 1.5 s without an echo, makes it read. The bound on withdrawn keys rests on the node's own clock as before.

--- a/briarpond/directory/__init__.py
+++ b/briarpond/directory/__init__.py
@@ -1,12 +1,13 @@
 """Which nodes callers may be sent to, learned from the nodes' heartbeats."""
 
-from ._codec import decode_beat, encode_beat
-from ._models import Beat, DemandRow, PlainRow, Plan, PlanRow, ServerRow, Targets
+from ._codec import decode_beat, decode_message, encode_beat, encode_echo
+from ._models import Beat, DemandRow, Echo, PlainRow, Plan, PlanRow, ServerRow, Targets
 from ._nodes import NodeBook
 
 __all__ = [
     "Beat",
     "DemandRow",
+    "Echo",
     "NodeBook",
     "PlainRow",
     "Plan",
@@ -14,5 +15,7 @@
     "ServerRow",
     "Targets",
     "decode_beat",
+    "decode_message",
     "encode_beat",
+    "encode_echo",
 ]
--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -9,9 +9,11 @@
 from briarpond.net import Address
 from briarpond.routes import ModelName
 
-from ._models import Beat, DemandRow, PlainRow, Plan, PlanRow, ServerRow, Targets
+from ._models import Beat, DemandRow, Echo, PlainRow, Plan, PlanRow, ServerRow, Targets
 from .gen.beats import ttypes
 
+BEAT_TAG = b"B"
+ECHO_TAG = b"E"
 _MALFORMED = (TException, EOFError, TypeError, ValueError, AttributeError)
 
 
@@ -33,16 +35,41 @@
         stalled=list(beat.stalled),
         plan=None if beat.plan is None else _encode_plan(beat.plan),
         candidate=beat.candidate,
+        clock_ms=beat.clock_ms,
+        config_version=beat.config_version,
     )
     row.write(TCompactProtocolAccelerated(buffer))
-    return buffer.getvalue()
+    return BEAT_TAG + buffer.getvalue()
+
+
+def encode_echo(echo: Echo) -> bytes:
+    """Return the bytes of an echo."""
+    buffer = TMemoryBuffer()
+    row = ttypes.Echo(echo.clock_ms, echo.config_version, echo.age_ms)
+    row.write(TCompactProtocolAccelerated(buffer))
+    return ECHO_TAG + buffer.getvalue()
+
+
+def decode_message(data: bytes) -> Result[Beat | Echo, str]:
+    """Read a datagram of another node; the error says what cannot be read."""
+    if data[:1] == BEAT_TAG:
+        return decode_beat(data)
+    if data[:1] != ECHO_TAG:
+        return Error("unknown kind of message")
+    row = ttypes.Echo()
+    try:
+        row.read(TCompactProtocolAccelerated(TMemoryBuffer(data[1:])))
+        row.validate()
+    except _MALFORMED as exc:
+        return Error(repr(exc))
+    return Ok(Echo(row.clock_ms, row.config_version, row.age_ms))
 
 
 def decode_beat(data: bytes) -> Result[Beat, str]:
     """Read a heartbeat; the error says what cannot be read."""
     row = ttypes.Beat()
     try:
-        row.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
+        row.read(TCompactProtocolAccelerated(TMemoryBuffer(data[1:])))
         row.validate()
         return Ok(_decode(row))
     except _MALFORMED as exc:
@@ -87,6 +114,8 @@
         stalled=tuple(InstanceId(each) for each in row.stalled),
         plan=None if row.plan is None else _decode_plan(row.plan),
         candidate=bool(row.candidate),
+        clock_ms=row.clock_ms or 0,
+        config_version=row.config_version or 0,
     )
 
 
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -79,6 +79,8 @@
         Set by the node that plans.
     candidate : bool
         Whether the node keeps applying for the planner's lease and reaches the store.
+    clock_ms : int
+        The sender's clock, which an echo repeats.
     """
 
     node: NodeId
@@ -91,3 +93,21 @@
     stalled: tuple[InstanceId, ...] = ()
     plan: Plan | None = None
     candidate: bool = False
+    clock_ms: int = 0
+    config_version: int = 0
+
+
+class Echo(msgspec.Struct, frozen=True):
+    """Tells one node that a configuration was the newest, by that node's own clock.
+
+    Attributes
+    ----------
+    clock_ms : int
+        What the node's heartbeat said of its clock.
+    age_ms : int
+        How old the sender's knowledge was when it got that heartbeat.
+    """
+
+    clock_ms: int
+    config_version: int
+    age_ms: int
--- a/briarpond/directory/beats.thrift
+++ b/briarpond/directory/beats.thrift
@@ -63,5 +63,14 @@
   8: required list<DemandRow> demand,
   9: required list<string> stalled,
   10: optional Plan plan,
-  11: optional bool candidate
+  11: optional bool candidate,
+  12: optional i64 clock_ms,
+  13: optional i64 config_version
+}
+
+/** Tells one node that a configuration was the newest, by that node's own clock. */
+struct Echo {
+  1: required i64 clock_ms,
+  2: required i64 config_version,
+  3: required i64 age_ms
 }
--- a/briarpond/directory/gen/beats/ttypes.py
+++ b/briarpond/directory/gen/beats/ttypes.py
@@ -572,11 +572,13 @@
      - stalled
      - plan
      - candidate
+     - clock_ms
+     - config_version
 
     """
 
 
-    def __init__(self, node=None, host=None, port=None, data_centre=None, ready=None, leaving=None, servers=None, demand=None, stalled=None, plan=None, candidate=None,):
+    def __init__(self, node=None, host=None, port=None, data_centre=None, ready=None, leaving=None, servers=None, demand=None, stalled=None, plan=None, candidate=None, clock_ms=None, config_version=None,):
         self.node = node
         self.host = host
         self.port = port
@@ -588,6 +590,8 @@
         self.stalled = stalled
         self.plan = plan
         self.candidate = candidate
+        self.clock_ms = clock_ms
+        self.config_version = config_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -671,6 +675,16 @@
                     self.candidate = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -734,6 +748,14 @@
             oprot.writeFieldBegin('candidate', TType.BOOL, 11)
             oprot.writeBool(self.candidate)
             oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 12)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 13)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -768,6 +790,93 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Echo(object):
+    """
+    Tells one node that a configuration was the newest, by that node's own clock.
+
+    Attributes:
+     - clock_ms
+     - config_version
+     - age_ms
+
+    """
+
+
+    def __init__(self, clock_ms=None, config_version=None, age_ms=None,):
+        self.clock_ms = clock_ms
+        self.config_version = config_version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Echo')
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 1)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 2)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.clock_ms is None:
+            raise TProtocolException(message='Required field clock_ms is unset!')
+        if self.config_version is None:
+            raise TProtocolException(message='Required field config_version is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(ServerRow)
 ServerRow.thrift_spec = (
     None,  # 0
@@ -824,6 +933,15 @@
     (9, TType.LIST, 'stalled', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.STRUCT, 'plan', [Plan, None], None, ),  # 10
     (11, TType.BOOL, 'candidate', None, None, ),  # 11
+    (12, TType.I64, 'clock_ms', None, None, ),  # 12
+    (13, TType.I64, 'config_version', None, None, ),  # 13
+)
+all_structs.append(Echo)
+Echo.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'clock_ms', None, None, ),  # 1
+    (2, TType.I64, 'config_version', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -1,8 +1,9 @@
 """One node on the users' platform: its parts, their schedule and the stop."""
 
+import math
 from collections.abc import Callable, Sequence
 
-from briarpond.directory import Beat, ServerRow
+from briarpond.directory import Beat, Echo, ServerRow
 from briarpond.ids import InstanceId
 from briarpond.logs import log_event, log_warning
 from briarpond.net import (
@@ -51,6 +52,10 @@
 STOP_EVERY_S = 0.05
 # Callers are sent elsewhere before the node has to refuse their keys.
 READY_FRESH_SHARE = 0.6
+# A node that was told so lately that its configuration is the newest does not read it.
+ECHO_S = 1.5
+CONFIRMED_S = 2.4
+TELLER_WAIT_S = 1.0
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
 
@@ -78,8 +83,10 @@
         self._clock = clock
         self._on_stopped = on_stopped
         self._stop_at: float | None = None
+        self._echo_at = float("-inf")
+        self._newest_config = 0
         self._store = StoreLink(settings.store.address, client)
-        self._config_feed = Feed(self._store, clock, CONFIG_TOPIC, self._on_config, self._on_config)
+        self._config_feed = self._make_config_feed()
         self._instances_feed = Feed(
             self._store,
             clock,
@@ -93,7 +100,14 @@
         )
         peer_address = Address(settings.host, settings.peer_port)
         self._peers = PeerLink(
-            clock, poller, peer_address, settings.node, self._beat, self._on_beat
+            clock,
+            poller,
+            peer_address,
+            settings.node,
+            self._beat,
+            self._on_beat,
+            self._make_echo,
+            self._on_echo,
         )
         clock += self._peers
         self._registry = NodeRegistry(self._store, clock, settings, self._peers.set_nodes)
@@ -178,6 +192,51 @@
 
     # Configuration
 
+    def _make_config_feed(self) -> Feed:
+        return Feed(
+            self._store,
+            self._clock,
+            CONFIG_TOPIC,
+            self._on_config,
+            self._on_config,
+            wanted=self._needs_config,
+            wait_s=self._config_wait_s,
+        )
+
+    def _needs_config(self) -> bool:
+        """Whether this node reads the configuration itself, and is not told of it in time."""
+        now = self._clock.now()
+        config = self.state.config
+        age = self._config_feed.age(now)
+        told = now - self._echo_at <= ECHO_S and age is not None and age < CONFIRMED_S
+        newest = config is not None and config.version >= self._newest_config
+        return self._lease.is_candidate(now) or not (told and newest)
+
+    def _config_wait_s(self) -> float:
+        """Return how long a read waits: those who tell others must know it often."""
+        now = self._clock.now()
+        if self._lease.is_candidate(now):
+            return TELLER_WAIT_S
+        return 0.0 if now - self._echo_at <= ECHO_S else WAIT_S
+
+    def _make_echo(self, beat: Beat) -> Echo | None:
+        """Tell a node how new its configuration is, if this node knows."""
+        now = self._clock.now()
+        config = self.state.config
+        age = self._config_feed.age(now)
+        if config is None or age is None or beat.candidate or not beat.clock_ms:
+            return None
+        if not self._lease.is_candidate(now):
+            return None
+        return Echo(beat.clock_ms, config.version, math.ceil(age * 1000))
+
+    def _on_echo(self, echo: Echo) -> None:
+        self._newest_config = max(self._newest_config, echo.config_version)
+        config = self.state.config
+        if config is not None and config.version == echo.config_version:
+            self._echo_at = self._clock.now()
+            self._config_feed.confirm((echo.clock_ms - echo.age_ms) / 1000)
+
     def _on_config(self, entries: Sequence[Entry]) -> None:
         for entry in entries:
             if entry.key == CONFIG_KEY and entry.value is not None:
@@ -206,6 +265,8 @@
             tenants=len(config.tenants),
             offset=entry.offset,
         )
+        if self._lease.is_candidate(self._clock.now()):
+            self._peers.send_now()
 
     # Instances
 
@@ -282,9 +343,12 @@
             stalled=tuple(self._stalled),
             plan=self._planner.plan(now),
             candidate=self._lease.is_candidate(now),
+            clock_ms=int(now * 1000),
+            config_version=0 if state.config is None else state.config.version,
         )
 
     def _on_beat(self, beat: Beat) -> None:
+        self._newest_config = max(self._newest_config, beat.config_version)
         self.state.take_beat(beat, self._clock.now())
         for server in beat.stalled:
             self._planner.check(server)
--- a/briarpond/gateway/_peers.py
+++ b/briarpond/gateway/_peers.py
@@ -6,7 +6,14 @@
 
 from circuits import BaseComponent
 
-from briarpond.directory import Beat, NodeBook, decode_beat, encode_beat
+from briarpond.directory import (
+    Beat,
+    Echo,
+    NodeBook,
+    decode_message,
+    encode_beat,
+    encode_echo,
+)
 from briarpond.ids import NodeId
 from briarpond.logs import log_event, log_warning
 from briarpond.net import Address, Clock, DirectPoller
@@ -31,6 +38,8 @@
         node: NodeId,
         make_beat: Callable[[], Beat],
         on_beat: Callable[[Beat], None],
+        make_echo: Callable[[Beat], Echo | None],
+        on_echo: Callable[[Echo], None],
     ) -> None:
         super().__init__()
         self.book = NodeBook(node)
@@ -39,6 +48,8 @@
         self._port = address.port
         self._make_beat = make_beat
         self._on_beat = on_beat
+        self._make_echo = make_echo
+        self._on_echo = on_echo
         self._hosts: dict[NodeId, str] = {}
         self._unread = 0
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -62,11 +73,7 @@
         """Send a heartbeat at once, because something changed."""
         data = encode_beat(self._make_beat())
         for host in set(self._hosts.values()):
-            try:
-                self._sock.sendto(data, (host, self._port))
-            except OSError as exc:
-                # A lost datagram: the next heartbeat says the same.
-                log_warning("beat_not_sent", host=host, error=str(exc))
+            self._send(data, host)
 
     def readable(self, _sock: socket.socket) -> None:
         """Take heartbeats."""
@@ -84,16 +91,30 @@
         """Never asked for."""
 
     def _take(self, data: bytes) -> None:
-        beat = decode_beat(data)
-        if beat.is_error():
-            log_warning("beat_malformed", error=beat.error)
-            return
-        if beat.ok.node == self._node:
-            return
-        self._hosts[beat.ok.node] = beat.ok.callers.host
-        if self.book.put(beat.ok, self._clock.now()):
-            log_event("node_heard", node=beat.ok.node, host=beat.ok.callers.host)
-        self._on_beat(beat.ok)
+        message = decode_message(data)
+        if message.is_error():
+            log_warning("beat_malformed", error=message.error)
+        elif isinstance(message.ok, Echo):
+            self._on_echo(message.ok)
+        elif message.ok.node != self._node:
+            self._take_beat(message.ok)
+
+    def _take_beat(self, beat: Beat) -> None:
+        host = beat.callers.host
+        self._hosts[beat.node] = host
+        if self.book.put(beat, self._clock.now()):
+            log_event("node_heard", node=beat.node, host=host)
+        self._on_beat(beat)
+        echo = self._make_echo(beat)
+        if echo is not None:
+            self._send(encode_echo(echo), host)
+
+    def _send(self, data: bytes, host: str) -> None:
+        try:
+            self._sock.sendto(data, (host, self._port))
+        except OSError as exc:
+            # A lost datagram: the next heartbeat says the same.
+            log_warning("beat_not_sent", host=host, error=str(exc))
 
     def _beat(self) -> None:
         self.send_now()
--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -105,6 +105,11 @@
         """Return for how long changes may have gone unseen."""
         return None if self.fresh_at is None else now - self.fresh_at
 
+    def confirm(self, at: float) -> None:
+        """What is known was still the newest at `at`, another node says."""
+        if self.fresh_at is not None:
+            self.fresh_at = max(self.fresh_at, at)
+
     def _ask(self) -> None:
         if self._state is _State.TAIL and not self._wanted():
             self._clock.after(LOOK_AGAIN_S, self._ask)
@@ -159,12 +164,11 @@
         waited = self._failures == 0 and not entries
         self._offset = max(self._offset, next_offset)
         # An answer without records says that there were none when the wait ended.
-        self.fresh_at = max(
-            self._asked_at, min(now, self._asked_at + self._waits_s) if waited else 0.0
-        )
+        fresh_at = max(self._asked_at, min(now, self._asked_at + self._waits_s) if waited else 0.0)
         self._succeeded()
         if entries:
             self._on_entries(entries)
+        self.confirm(fresh_at)
         self._clock.after(self._pace_s() if entries else 0.0, self._ask)
 
     def _succeeded(self) -> None:
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -7,6 +7,7 @@
 from briarpond.directory import (
     Beat,
     DemandRow,
+    Echo,
     NodeBook,
     PlainRow,
     Plan,
@@ -14,7 +15,9 @@
     ServerRow,
     Targets,
     decode_beat,
+    decode_message,
     encode_beat,
+    encode_echo,
 )
 from briarpond.net import Address
 
@@ -49,6 +52,14 @@
     assert decode_beat(encode_beat(repeated)).ok == repeated
 
 
+def test_echo_round_trip_and_unknown_kinds():
+    echo = Echo(123456, 7, 40)
+    assert decode_message(encode_echo(echo)).ok == echo
+    assert decode_message(encode_beat(beat("n1"))).ok.node == "n1"
+    for data in (b"", b"?", b"E", b"X" + encode_echo(echo)):
+        assert decode_message(data).is_error()
+
+
 def test_cut_heartbeats_are_errors_and_nothing_else():
     data = encode_beat(beat("n1"))
     for end in range(len(data) - 1):
