--- /dev/null
+++ b/benchmarks/gateway.py
@@ -0,0 +1,115 @@
+"""Slopes of the platform face: heartbeats, planning and choices at growing sizes.
+
+python -m benchmarks.gateway
+"""
+
+import itertools
+import time
+from collections.abc import Callable
+
+from briarpond.directory import Beat, Plan, PlanRow, ServerRow, Targets, decode_beat, encode_beat
+from briarpond.dispatch import Work, first_event_s
+from briarpond.fleet import Instance, InstanceState, Membership, MemberState
+from briarpond.net import Address
+from briarpond.placement import LoadBudget, Planner
+from briarpond.routes import EngineSpec, ModelSpec
+
+REPEATS = 5
+BIG = ModelSpec("big", 8, 1.0, 1.0, 16.0, 1.6)
+ENGINE = EngineSpec(9, 984_705, 0.0078, 0.00018, 0.00002, 45_900, 979, 154, 5, 7, 0.3, (BIG,))
+
+
+def best_us(call: Callable[[], object]) -> float:
+    """Return the least processor time of a call, in microseconds."""
+    best = float("inf")
+    for _ in range(REPEATS):
+        count = 0
+        began = time.process_time()
+        while time.process_time() - began < 0.05:
+            call()
+            count += 1
+        best = min(best, (time.process_time() - began) / count)
+    return best * 1e6
+
+
+def beat(groups: int, servers: int) -> Beat:
+    """Return a planner's heartbeat with all targets."""
+    rows = tuple(
+        PlanRow(f"g12-{n}", 12_000_000 + n, "daka510000", f"i-{n:010x}", Address("10.1.0.1", 80))
+        for n in range(groups)
+    )
+    flight = tuple(ServerRow(f"i-{n:010x}", 3, 900) for n in range(servers))
+    plan = Plan(12, 99, True, Targets(rows, ()))
+    return Beat("edge-1", Address("10.1.0.2", 80), "zone-a", True, False, flight, plan=plan)
+
+
+def instances(count: int) -> list[Instance]:
+    """Return instances that all serve in groups of eight."""
+    return [
+        Instance(
+            f"i-{n}",
+            "pool",
+            Address("10.1.0.1", 80),
+            "zone-a",
+            InstanceState.READY,
+            9,
+            1,
+            f"d{n // 16}",
+            ("big",),
+            "big",
+            Membership(f"g1-{n // 8}", 1_000_000 + n // 8, n % 8, MemberState.OPEN),
+        )
+        for n in range(count)
+    ]
+
+
+def planning_us(count: int) -> float:
+    """Return the time of one planning round."""
+    rows = instances(count)
+    planner = Planner(2, ENGINE, LoadBudget(5, 7, 5), 4.0, itertools.count(1))
+    planner.update(rows, 100.0)
+    demand = {"big": count / 8}
+
+    def round_() -> None:
+        planner.update(rows, 100.0)
+        planner.step(demand, 100.0)
+
+    return best_us(round_)
+
+
+def row(what: str, size: str, us: float, data: bytes = b"") -> None:
+    """Print one row of the table."""
+    print(f"| {what} | {size} | {us:.1f} | {len(data) or ''} |")
+
+
+def measure_plan(groups: int) -> None:
+    """Measure a planner's heartbeat."""
+    whole = beat(groups, 0)
+    data = encode_beat(whole)
+    row("plan encoded", f"{groups} groups", best_us(lambda: encode_beat(whole)), data)
+    row("plan decoded", f"{groups} groups", best_us(lambda: decode_beat(data)))
+
+
+def measure_loads(servers: int) -> None:
+    """Measure a heartbeat that tells what is in flight."""
+    flight = beat(0, servers).servers
+    data = encode_beat(Beat("edge-1", Address("10.1.0.2", 80), "a", True, False, flight))
+    row("loads decoded", f"{servers} servers", best_us(lambda: decode_beat(data)), data)
+
+
+def main() -> None:
+    """Print a table of slopes."""
+    print("| what | size | us | bytes |")
+    print("|---|---|---|---|")
+    for groups in (25, 50, 100, 150):
+        measure_plan(groups)
+    for servers in (10, 50, 150):
+        measure_loads(servers)
+    for count in (160, 320, 640, 1200):
+        row("planning round", f"{count} instances", planning_us(count))
+    usual = Work(979, 154)
+    row("estimate", "one group", best_us(lambda: first_event_s(ENGINE, BIG, usual, 9, 3000)))
+
+
+if __name__ == "__main__":
+    main()
--- a/briarpond/__init__.py
+++ b/briarpond/__init__.py
@@ -1,3 +1,3 @@
 """Serving system for models that span several instances."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
