--- a/briarpond/dispatch/_load.py
+++ b/briarpond/dispatch/_load.py
@@ -8,8 +8,6 @@
 
 # What another node told of its requests is forgotten after this time.
 PEER_LOAD_S = 1.5
-# What a server told of itself is of use for this long.
-SERVER_LOAD_S = 1.0
 
 
 class GroupLoad(msgspec.Struct):
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -24,7 +24,7 @@
 CONNECT_S = 0.4
 # A server that turned a request away is taken to be full for so long.
 FULL_S = 0.15
-# Longest wait at this node for a plain server, in parts of the goal.
+# A larger answer that is not a stream counts as failed; it is held in memory.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 DEFAULT_DEADLINE_S = 30.0
 NOT_RUN_STATUSES = frozenset({421, 429, 503})
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -112,6 +112,13 @@
             return self._targets.servers
         return self.targets_seen().servers or self._targets.servers
 
+    def has_left(self, server: InstanceId, now: float) -> bool:
+        """Whether a server leaves or has left, as far as this node follows the list.
+
+        A node that is told by the planner does not: what it saw before may be old.
+        """
+        return server in self.fleet.left and self.needs_list(now)
+
     def targets_seen(self) -> Targets:
         """Return the targets by this node's own view of the list."""
         version, targets = self._seen
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -49,7 +49,7 @@
         for row in state.groups(now)
         if row.model == model
         and row.head not in tried
-        and row.head not in state.fleet.left
+        and not state.has_left(row.head, now)
         and not state.avoids(row.head, now)
     ]
     with_room: list[Target] = []
@@ -85,7 +85,7 @@
     best_rank: tuple[float, bool, float] = (0.0, False, 0.0)
     for instance in state.servers(now):
         server = instance.instance
-        if instance.service != service or server in tried or server in state.fleet.left:
+        if instance.service != service or server in tried or state.has_left(server, now):
             continue
         if state.avoids(server, now):
             continue
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -326,11 +326,6 @@
         else:
             del self._idle[conn.address]
 
-    def close_idle(self, address: Address) -> None:
-        """Close the idle connections to an address."""
-        for _, conn in self._idle.pop(address, ()):
-            conn.close()
-
     def _take_idle(self, address: Address) -> Connection | None:
         idle = self._idle.get(address)
         while idle:
--- a/briarpond/platform/__init__.py
+++ b/briarpond/platform/__init__.py
@@ -7,7 +7,6 @@
     ServerLoad,
     WireHeader,
     bearer_key,
-    parse_prompt_parts,
     parse_server_load,
     parse_token_counts,
 )
@@ -83,7 +82,6 @@
     "leave_lease",
     "load_gateway_settings",
     "parse_address_query",
-    "parse_prompt_parts",
     "parse_server_load",
     "parse_token_counts",
     "read_newest",
--- a/briarpond/platform/_headers.py
+++ b/briarpond/platform/_headers.py
@@ -16,7 +16,6 @@
     MODEL = "x-briarpond-model"
     TOKENS = "x-briarpond-token-usage"
     LENGTH_HINT = "x-briarpond-length-hint"
-    PROMPT_PARTS = "x-briarpond-prompt-prefix"
     PRIORITY = "x-briarpond-request-priority"
     LAST_EVENT = "last-event-id"
     AUTHORIZATION = "authorization"
@@ -72,10 +71,3 @@
     if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
         return None
     return int(parts[0]), int(parts[1])
-
-
-def parse_prompt_parts(value: str | None) -> tuple[str, ...]:
-    """Read the identifiers of the prompt's parts, in order."""
-    if not value:
-        return ()
-    return tuple(part.split(":", 1)[0].strip() for part in value.split(","))
--- a/briarpond/platform/_settings.py
+++ b/briarpond/platform/_settings.py
@@ -11,9 +11,6 @@
 from briarpond.ids import DataCentre, NodeId
 from briarpond.net import Address
 
-# One interval of silence that the platform forgives an instance, if the file has none.
-DEFAULT_HEARTBEAT_S = 1.2
-
 
 class SettingsProblem(msgspec.Struct, frozen=True):
     """What is wrong with the settings file."""
@@ -28,12 +25,9 @@
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
-    """Where the store is and what all nodes together may ask of it."""
+    """Where the store is, and the shortest lease that it grants."""
 
     address: Address
-    writes_per_s: float
-    reads_per_s: float
-    partitions: int
     lease_ttl_min_s: float
 
 
@@ -89,8 +83,6 @@
     readiness: Address
     directory: Address | None
     peer_port: int
-    max_descriptors: int
-    heartbeat_s: float
     store: StoreSettings
     bounds: BoundSettings
 
@@ -101,10 +93,6 @@
     directory: str = ""
 
 
-class _Limits(msgspec.Struct):
-    maxFds: int = 1024  # noqa: N815 - names of the platform
-
-
 class _Bounds(msgspec.Struct):
     graceS: float = 8.0  # noqa: N815
     drainMs: float = 2000.0  # noqa: N815
@@ -120,9 +108,6 @@
 
 class _Platform(msgspec.Struct):
     addr: str
-    writesPerS: float = 100.0  # noqa: N815
-    readsPerS: float = 500.0  # noqa: N815
-    parts: int = 1
     ttlMinMs: float = 1000.0  # noqa: N815
 
 
@@ -133,9 +118,7 @@
     listen: _Listen
     internalPorts: list[int]  # noqa: N815
     platform: _Platform
-    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    heartbeatMs: float = DEFAULT_HEARTBEAT_S * 1000  # noqa: N815
 
 
 def load_gateway_settings(path: Path) -> Result[GatewaySettings, SettingsProblem]:
@@ -178,13 +161,8 @@
         readiness=Address.parse(file.listen.readiness),
         directory=Address.parse(directory) if directory else None,
         peer_port=file.internalPorts[0],
-        max_descriptors=file.limits.maxFds,
-        heartbeat_s=file.heartbeatMs / 1000,
         store=StoreSettings(
             address=Address.parse(platform.addr),
-            writes_per_s=platform.writesPerS,
-            reads_per_s=platform.readsPerS,
-            partitions=platform.parts,
             lease_ttl_min_s=platform.ttlMinMs / 1000,
         ),
         bounds=BoundSettings(
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -4,7 +4,7 @@
 
 from briarpond.net import LossReason
 
-from .world import STAMP, Gateway
+from .world import STAMP, Gateway, instance
 
 NOT_EXECUTED = ("x-briarpond-not-executed", "1")
 
@@ -174,3 +174,22 @@
     for _ in range(5):
         gateway.ask("/order/1")
     assert {sent.header("x-briarpond-expect-instance") for sent in gateway.client.sent} == {"p2"}
+
+
+def test_server_that_came_back_is_used_by_nodes_that_are_told(gateway):
+    """Pattern: servers go down and up by turns while this node does not follow the list."""
+    now = gateway.clock.now()
+    gateway.state.fleet.put(instance("h1"), now)
+    gateway.state.fleet.remove("h1", now)
+    gateway.plan(("h1",), fresh=True)
+    gateway.stream()
+    assert gateway.client.sent[0].header("x-briarpond-expect-instance") == "h1"
+
+
+def test_head_that_was_seen_to_leave_gets_nothing_new(gateway):
+    now = gateway.clock.now()
+    gateway.state.fleet.put(instance("h1"), now)
+    gateway.state.fleet.remove("h1", now)
+    gateway.plan(("h1",), fresh=False)
+    gateway.stream()
+    assert not gateway.client.sent
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -123,6 +123,10 @@
         return next((value for each, value in self.headers if each.lower() == name), None)
 
 
+def instance(name):
+    return decode_instance(name, server_bytes()).ok
+
+
 class Gateway:
     """A node's ingress with two groups of each model and three plain servers."""
 
@@ -145,13 +149,13 @@
         assert all(row.state is InstanceState.READY for row in self.state.fleet.all())
         self.plan(heads)
 
-    def plan(self, heads) -> None:
+    def plan(self, heads, fresh: bool = False) -> None:
         rows = tuple(
             PlanRow(f"g-{head}", 1, "big", head, Address("10.8.0.1", 80 + n))
             for n, head in enumerate(heads)
         )
         sequence = 1 if self.state.plan is None else self.state.plan.sequence + 1
-        plan = Plan(1, sequence, False, Targets(rows, ()))
+        plan = Plan(1, sequence, fresh, Targets(rows, ()))
         self.state.take_plan(plan, self.clock.now())
 
     def ask(self, target, method="POST", key="key-a", deadline_ms=8000, **headers):
