--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,6 +21,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 SETTLE_S = 6.0
+INTERPRETER_S = 0.3
 
 
 class Node:
@@ -34,6 +35,7 @@
         self.proxy = Proxy(world.store_port)
         self.process: subprocess.Popen | None = None
         self.stopping = False
+        self.started_at = 0.0
 
     async def start(self) -> None:
         if not self.path.exists():
@@ -43,6 +45,7 @@
         env = {**os.environ, "BRIARPOND_SETTINGS": str(self.path), "PYTHONPATH": str(ROOT)}
         command = [sys.executable, "-m", "briarpond.gateway"]
         self.process = subprocess.Popen(command, cwd=ROOT, env=env, stdout=log, stderr=log)
+        self.started_at = time.monotonic()
         self.stopping = False
 
     def settings(self, port: int) -> str:
@@ -163,6 +166,8 @@
     async def stop_gracefully(self, node: Node) -> None:
         if node.stopping or not node.running:
             return
+        # Until the interpreter runs our first line, the signal ends it as it ends any.
+        await asyncio.sleep(max(0.0, node.started_at + INTERPRETER_S - time.monotonic()))
         node.stopping = True
         began = time.monotonic()
         process = node.process
