--- /dev/null
+++ b/briarpond/placement/_roster.py
@@ -0,0 +1,146 @@
+"""What the planner knows of instances, and which of them are free."""
+
+from collections import defaultdict
+from collections.abc import Mapping
+
+from briarpond.fleet import Instance, InstanceState, MemberState
+from briarpond.ids import FabricDomain, GroupId, InstanceId
+from briarpond.routes import EngineSpec, ModelName, ModelSpec
+
+from ._models import PlannedGroup, Stage
+
+REJOIN_S = 0.2
+SHARE_IN_GROUPS = 0.8
+
+
+class Roster:
+    """Instances and groups of one service.
+
+    Attributes
+    ----------
+    groups : dict
+        Groups that the planner forms, keeps or dissolves.
+    lost : dict
+        Instances that do not answer, and since when.
+    slow : set
+        Instances that say they work slowly.
+    last_model : dict
+        Model of the last group that each instance joined.
+    blocked_until : dict
+        Instances that must not join another group before a time.
+    """
+
+    def __init__(self, engine: EngineSpec) -> None:
+        self.engine = engine
+        self.groups: dict[GroupId, PlannedGroup] = {}
+        self.instances: dict[InstanceId, Instance] = {}
+        self.lost: dict[InstanceId, float] = {}
+        self.slow: set[InstanceId] = set()
+        self.last_model: dict[InstanceId, ModelName] = {}
+        self.blocked_until: dict[InstanceId, float] = {}
+        self.free_since: dict[InstanceId, float] = {}
+
+    def usable(self, instance_id: InstanceId) -> bool:
+        instance = self.instances.get(instance_id)
+        return (
+            instance is not None
+            and instance.state is InstanceState.READY
+            and instance_id not in self.lost
+        )
+
+    def free_by_domain(self, now: float) -> dict[FabricDomain, list[Instance]]:
+        """Return the instances that may be told to join, by fabric domain."""
+        taken = {
+            member
+            for group in self.groups.values()
+            if group.stage is not Stage.PREPARING
+            for member in group.members
+        }
+        heads = {
+            (each.membership.group, each.membership.epoch): each.membership.state
+            for each in self.instances.values()
+            if each.membership is not None and each.membership.rank == 0
+        }
+        free: dict[FabricDomain, list[Instance]] = defaultdict(list)
+        for instance in self.instances.values():
+            if instance.id in taken or not self.usable(instance.id):
+                continue
+            if now < self.blocked_until.get(instance.id, now) or instance.id in self.slow:
+                continue
+            if self._may_leave(instance, heads):
+                self.blocked_until.pop(instance.id, None)
+                free[instance.domain].append(instance)
+        return free
+
+    def note_free(self, free: Mapping[FabricDomain, list[Instance]], now: float) -> None:
+        """Remember since when instances are idle."""
+        ids = {row.id for rows in free.values() for row in rows}
+        self.free_since = {each: self.free_since.get(each, now) for each in ids}
+
+    def _may_leave(self, instance: Instance, heads: Mapping) -> bool:
+        """Whether the group that an instance says it is in surely does not serve."""
+        membership = instance.membership
+        if membership is None:
+            return True
+        state = heads.get((membership.group, membership.epoch))
+        if state is not None:
+            return state not in (MemberState.OPEN, MemberState.CLOSING)
+        # The head is gone: it has broken once its members were away for long enough.
+        return instance.id in self.blocked_until
+
+    def join_s(self, instance: InstanceId, spec: ModelSpec) -> float:
+        if self.last_model.get(instance) == spec.name:
+            return REJOIN_S
+        row = self.instances.get(instance)
+        if row is not None and spec.name in row.staged:
+            return spec.warm_s
+        return spec.load_s + spec.warm_s
+
+    def satisfaction(self, spec: ModelSpec, demand: Mapping[ModelName, float]) -> float:
+        """Return groups that exist or come, against groups wanted."""
+        count = sum(
+            1
+            for group in self.groups.values()
+            if group.model == spec.name
+            and group.stage in (Stage.JOINING, Stage.OPENING, Stage.OPEN)
+        )
+        return count / max(demand.get(spec.name, 0.0) or self._by_share(spec), 0.1)
+
+    def _by_share(self, spec: ModelSpec) -> float:
+        total = sum(model.share for model in self.engine.models) or 1.0
+        servers = len(self.instances) * SHARE_IN_GROUPS * spec.share / total
+        return servers / spec.size
+
+    def preparing(self) -> dict[InstanceId, ModelName]:
+        """Return the instances that load a model for later."""
+        return {
+            group.head: group.model
+            for group in self.groups.values()
+            if group.stage is Stage.PREPARING
+        }
+
+    def loading(self) -> int:
+        """Return how many instances load from the weight store at present."""
+        count = 0
+        for group in self.groups.values():
+            if group.stage not in (Stage.JOINING, Stage.PREPARING):
+                continue
+            for member in group.members:
+                row = self.instances.get(member)
+                if row is not None and member not in group.ready and group.model not in row.staged:
+                    count += 1
+        return count
+
+    def spares(self) -> dict[ModelName, int]:
+        """Return how many idle instances know each model, or are about to."""
+        grouped = {
+            member
+            for group in self.groups.values()
+            if group.stage is not Stage.PREPARING
+            for member in group.members
+        }
+        spares: dict[ModelName, int] = defaultdict(int)
+        for instance_id, model in self.last_model.items():
+            if instance_id not in grouped and self.usable(instance_id):
+                spares[model] += 1
+        return spares
