A missing entry gets no new work well before its server may be gone

Change: an entry that is missing for 1.2 s after an outage leaves the plan; its group is kept for the grace as before.

--- a/briarpond/fleet/_view.py
+++ b/briarpond/fleet/_view.py
@@ -10,6 +10,9 @@
 
 # Entries that lapsed during an outage of the store are back this soon after it.
 RETURN_GRACE_S = 2.5
+# An entry that is missing for so long after an outage gets no new work: its server may
+# have left for good, and its callers must have gone elsewhere 2 s after that.
+MISSING_USE_S = 1.2
 
 
 class _Row(msgspec.Struct):
@@ -68,13 +71,15 @@
         self._trusted_after = now + RETURN_GRACE_S
 
     def settle(self, now: float) -> None:
-        """Drop entries that did not come back after an outage."""
-        if now < self._trusted_after:
-            return
+        """Drop entries that did not come back after an outage; first, give them no work."""
         for instance_id, row in list(self._rows.items()):
-            if row.missing_since is not None:
+            if row.missing_since is None:
+                continue
+            if now >= self._trusted_after:
                 self._forget(instance_id, now)
                 self.version += 1
+            elif now - row.missing_since >= MISSING_USE_S:
+                self.left.setdefault(instance_id, now)
 
     def get(self, instance: InstanceId) -> Instance | None:
         """Return the entry of an instance."""
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -49,6 +49,7 @@
 # A node that is about to plan reads the list often, to see all that was done before.
 TAKE_OVER_WAIT_S = 0.05
 HOUSEKEEPING_S = 1.0
+SETTLE_S = 0.2
 STOP_EVERY_S = 0.05
 # Callers are sent elsewhere before the node has to refuse their keys.
 READY_FRESH_SHARE = 0.6
@@ -154,6 +155,7 @@
         self._lease.start()
         self._planner.start()
         self.ingress.start()
+        self._clock.every(SETTLE_S, self._settle)
         self._clock.every(HOUSEKEEPING_S, self._housekeep)
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -386,10 +388,12 @@
         content = (("Content-Type", "application/json"),)
         reply.whole(200, content, encode_addresses(addresses, ttl))
 
+    def _settle(self) -> None:
+        self.state.fleet.settle(self._clock.now())
+
     def _housekeep(self) -> None:
         state = self.state
         now = self._clock.now()
         state.nodes = self._peers.book.count(now)
         self._peers.book.forget(now)
-        state.fleet.settle(now)
         state.loads.forget({row.id for row in state.fleet.all()})
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -224,7 +224,7 @@
 
     def _row(self, group: PlannedGroup) -> PlanRow | None:
         head = self._state.fleet.get(group.head)
-        if head is None:
+        if head is None or group.head in self._state.fleet.left:
             return None
         return PlanRow(group.id, group.epoch, group.model, group.head, head.address)
 
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -47,3 +47,17 @@
     (group,) = groups_of([member("b", 1), member("a", 0), row("c", group=None)])
     assert (group.head, group.members, group.epoch) == ("a", ("a", "b"), 5)
     assert groups_of([member("b", 1)]) == []
+
+
+def test_missing_entry_gets_no_new_work_well_before_its_server_may_be_gone():
+    """Derwent hunt-6b2e-15: a server left just after the store had come back to this node."""
+    view = FleetView()
+    view.put(row("a"), 0.0)
+    view.outage_ended(10.0)
+    view.remove("a", 10.3)
+    view.settle(11.4)
+    assert "a" not in view.left
+    view.settle(11.6)
+    assert "a" in view.left and view.get("a") is not None
+    view.put(row("a"), 11.7)
+    assert "a" not in view.left
