A planner without its lease goes on only if nobody reaches the store

A planner whose lease had run out went on while it heard of no other, which also holds for one that was frozen or cut off; it may open a group after the next planner has read the list. Change: it goes on only if it hears at least half of the nodes it knows and none of them keeps a lease alive at the store.

--- a/briarpond/directory/_nodes.py
+++ b/briarpond/directory/_nodes.py
@@ -52,6 +52,17 @@
         ahead = sum(1 for node in others if node < self._own)
         return applying + ahead < most
 
+    def nobody_reaches_store(self, now: float) -> bool:
+        """Whether all nodes are without the store, as far as most of them say so.
+
+        A node that hears few of the others may be the one that is cut off, or may
+        have been frozen: it cannot tell.
+        """
+        living = self.living(now)
+        if 2 * len(living) < len(self._heard):
+            return False
+        return not any(beat.candidate for beat in living)
+
     def forget(self, now: float) -> None:
         """Drop nodes that were silent for long."""
         for node, heard in list(self._heard.items()):
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -121,7 +121,8 @@
                 return True
             return self._took_over(now)
         # While nobody reaches the store, whoever planned goes on.
-        return bool(self._planners) and self._lease.lapsed_holding(now) and not self._outbid()
+        lapsed = bool(self._planners) and self._lease.lapsed_holding(now)
+        return lapsed and not self._outbid() and self._peers.book.nobody_reaches_store(now)
 
     def _took_over(self, now: float) -> bool:
         """Whether the planner before this one has surely stopped, and its work is seen."""
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -95,3 +95,24 @@
     for name in "ac":
         book.put(msgspec.structs.replace(beat(name), candidate=True), 10.0)
     assert book.should_apply(3, 10.1)
+
+
+def test_planner_goes_on_without_the_store_only_if_nobody_has_it():
+    """Lehtinen hunt-5c73-39: a planner without its lease went on while another had it."""
+    book = NodeBook("own")
+    for name in "abcd":
+        book.put(beat(name), 10.0)
+    assert book.nobody_reaches_store(10.5)
+    book.put(msgspec.structs.replace(beat("b"), candidate=True), 10.5)
+    assert not book.nobody_reaches_store(10.6)
+
+
+def test_planner_that_was_frozen_or_cut_off_does_not_go_on():
+    book = NodeBook("own")
+    for name in "abcd":
+        book.put(beat(name), 10.0)
+    assert not book.nobody_reaches_store(14.0)
+    book.put(beat("a"), 14.0)
+    assert not book.nobody_reaches_store(14.1)
+    book.put(beat("b"), 14.0)
+    assert book.nobody_reaches_store(14.1)
