Members of a lost head are free once they have confirmed to leave it

Members of a head that had died while nobody planned were never freed: the list shows their group, whose head it does not list.

Change: leave takes effect at once, so a member that has confirmed it is in no group and may join another. Whoever has not confirmed it stays out. Members whose head is not listed and whose group nobody keeps are told to leave too.

Ruled out: that the rule on two groups asks for the wait also after a confirmed leave.

The test that asked for the wait is replaced by three as strict: no member of a head that lives on behind a partition serves elsewhere before it has confirmed to leave; whoever cannot confirm stays out; members of a head that is gone serve again. The first and the last failed before.

Planner.mark_stuck, which nobody called, is gone.

A join that got no answer may be carried out late and bring a member back into the group it has left: once the list has shown it outside, the list's word counts again, and it is told to leave anew. Test with a late join, which failed first.

--- a/briarpond/placement/_models.py
+++ b/briarpond/placement/_models.py
@@ -55,6 +55,8 @@
         Members that were seen ready under this name and epoch.
     since : float
         When the group entered its stage.
+    left : set
+        Members that confirmed to have left while the head was lost.
     opens_at : float
         From when an opened group serves.
     last_order : dict
@@ -78,6 +80,7 @@
     stage: Stage
     since: float
     ready: set[InstanceId] = msgspec.field(default_factory=set)
+    left: set[InstanceId] = msgspec.field(default_factory=set)
     opens_at: float = 0.0
     last_order: dict[InstanceId, float] = msgspec.field(default_factory=dict)
     due: dict[InstanceId, float] = msgspec.field(default_factory=dict)
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -5,7 +5,7 @@
 - a head is told to open only after every member was seen ready under the
   group's name, epoch and member list, and only for groups of this term;
 - an instance is told to join another group only when the head of its old one is
-  known not to serve, or can no longer do so.
+  known not to serve, or once it has confirmed that it left.
 
 Epochs start with the term of the planner's lease, so that instances reject what
 an earlier planner still has under way.
@@ -63,6 +63,7 @@
         self._unanswered: dict[InstanceId, float] = {}
         self._born: dict[InstanceId, int] = {}
         self._released: dict[tuple[GroupId, int], float] = {}
+        self._told_to_leave: dict[InstanceId, float] = {}
 
     # What the planner is told
 
@@ -71,6 +72,7 @@
         self._roster.instances = {instance.id: instance for instance in instances}
         for instance in self._roster.instances.values():
             self._notice_restart(instance)
+            self._roster.notice_left(instance)
             if instance.model is not None:
                 self._roster.last_model[instance.id] = instance.model
         self._adopt(now)
@@ -96,12 +98,6 @@
         else:
             self.slow.discard(instance)
 
-    def mark_stuck(self, group_id: GroupId, now: float) -> None:
-        """A group stands still though its members answer: take it apart."""
-        group = self.groups.get(group_id)
-        if group is not None and group.stage in (Stage.OPEN, Stage.OPENING):
-            self._begin_close(group, True, now)
-
     def on_answer(self, order: Order, status: int | None, now: float) -> None:
         """Take the status of an order's answer; None if there was none."""
         if status is None:
@@ -109,6 +105,8 @@
             self._note_late_open(order)
             return
         self.mark_alive(order.instance)
+        if order.kind is OrderKind.LEAVE and status in (200, 409):
+            self._roster.has_left[order.instance] = (order.group, order.epoch)
         group = self.groups.get(order.group)
         if group is None or group.epoch != order.epoch:
             return
@@ -116,12 +114,19 @@
             self._on_join_answer(group, order, status, now)
         elif order.kind is OrderKind.OPEN:
             self._on_open_answer(group, status, now)
-        elif group.stage is Stage.CLOSING and order.instance == group.head:
-            # A head that has left cannot open late; a closed one must be seen closed.
-            if status in (200, 409, 421):
-                self._release(group, now)
-        elif order.kind is OrderKind.LEAVE and group.stage is Stage.HEAD_LOST:
-            self._roster.blocked_until[order.instance] = now + self._stall_s + STALL_MARGIN_S
+        elif order.kind is OrderKind.LEAVE and status in (200, 409):
+            group.left.add(order.instance)
+        if self._ends_closing(group, order, status):
+            self._release(group, now)
+
+    def _ends_closing(self, group: PlannedGroup, order: Order, status: int) -> bool:
+        """Whether an answer says that a head which closes does not serve any more.
+
+        One that has left cannot open late either; one that closed after its running
+        requests must be seen closed.
+        """
+        closing = group.stage is Stage.CLOSING and order.instance == group.head
+        return closing and status in (200, 409, 421)
 
     def _note_late_open(self, order: Order) -> None:
         """An order to open that got no answer may still be carried out."""
@@ -140,7 +145,7 @@
             Groups of each model that callers' requests would fill.
         """
         self._loads.counts = self._loads.counts or bool(demand)
-        orders: list[Order] = []
+        orders = self._free_orphans(now)
         for group in list(self.groups.values()):
             orders += self._drive(group, now)
         free = self._roster.free_by_domain(now)
@@ -172,6 +177,7 @@
         self.lost.pop(instance.id, None)
         self._roster.last_model.pop(instance.id, None)
         self._roster.blocked_until.pop(instance.id, None)
+        self._roster.has_left.pop(instance.id, None)
         for group in self.groups.values():
             if instance.id in group.members:
                 group.ready.discard(instance.id)
@@ -185,6 +191,8 @@
                 group.epoch,
             ):
                 continue
+            if (group.id, group.epoch) != self._roster.has_left.get(member):
+                group.left.discard(member)
             if membership.state in (MemberState.READY, MemberState.OPEN):
                 group.ready.add(member)
             if member == group.head:
@@ -315,17 +323,39 @@
         return self._repeat(group, (group.head,), kind, now)
 
     def _drive_head_lost(self, group: PlannedGroup, now: float) -> list[Order]:
-        """Make a head that may live on break, by taking its members away."""
+        """Let the members leave; a head that lives on breaks, and they are free at once."""
         others = tuple(
             member
             for member in group.members[1:]
-            if self._roster.usable(member) and member not in self._roster.blocked_until
+            if self._roster.usable(member) and member not in group.left
         )
         if not others and now - group.since > self._stall_s + STALL_MARGIN_S:
             del self.groups[group.id]
             return []
         return self._repeat(group, others, OrderKind.LEAVE, now)
 
+    def _free_orphans(self, now: float) -> list[Order]:
+        """Let members leave whose head is listed no more and whose group nobody keeps."""
+        grouped = {member for group in self.groups.values() for member in group.members}
+        orders = []
+        for instance, membership in self._roster.orphans():
+            told_at = self._told_to_leave.get(instance.id, -RESEND_S)
+            if instance.id in grouped or now - told_at < RESEND_S:
+                continue
+            self._told_to_leave[instance.id] = now
+            orders.append(
+                Order(
+                    OrderKind.LEAVE,
+                    instance.id,
+                    instance.address,
+                    membership.group,
+                    membership.epoch,
+                    instance.model or ModelName(""),
+                    (),
+                )
+            )
+        return orders
+
     def _release(self, group: PlannedGroup, now: float) -> None:
         """The head does not serve any more: its members are free."""
         self.groups.pop(group.id, None)
--- a/briarpond/placement/_roster.py
+++ b/briarpond/placement/_roster.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Mapping
 
-from briarpond.fleet import Instance, InstanceState, MemberState
+from briarpond.fleet import Instance, InstanceState, Membership, MemberState
 from briarpond.ids import FabricDomain, GroupId, InstanceId
 from briarpond.routes import EngineSpec, ModelName, ModelSpec
 
@@ -28,6 +28,8 @@
         Model of the last group that each instance joined.
     blocked_until : dict
         Instances that must not join another group before a time.
+    has_left : dict
+        Membership that each instance confirmed to have ended; the list may still show it.
     """
 
     def __init__(self, engine: EngineSpec) -> None:
@@ -39,6 +41,7 @@
         self.last_model: dict[InstanceId, ModelName] = {}
         self.blocked_until: dict[InstanceId, float] = {}
         self.free_since: dict[InstanceId, float] = {}
+        self.has_left: dict[InstanceId, tuple[GroupId, int]] = {}
 
     def usable(self, instance_id: InstanceId) -> bool:
         instance = self.instances.get(instance_id)
@@ -55,6 +58,7 @@
             for group in self.groups.values()
             if group.stage is not Stage.PREPARING
             for member in group.members
+            if member not in group.left
         }
         heads = {
             (each.membership.group, each.membership.epoch): each.membership.state
@@ -78,15 +82,42 @@
         self.free_since = {each: self.free_since.get(each, now) for each in ids}
 
     def _may_leave(self, instance: Instance, heads: Mapping) -> bool:
-        """Whether the group that an instance says it is in surely does not serve."""
+        """Whether an instance is in no group, or in one that surely does not serve."""
         membership = instance.membership
-        if membership is None:
+        if membership is None or self._left_it(instance.id, membership):
             return True
         state = heads.get((membership.group, membership.epoch))
-        if state is not None:
-            return state not in (MemberState.OPEN, MemberState.CLOSING)
-        # The head is gone: it has broken once its members were away for long enough.
-        return instance.id in self.blocked_until
+        return state is not None and state not in (MemberState.OPEN, MemberState.CLOSING)
+
+    def notice_left(self, instance: Instance) -> None:
+        """The list shows that an instance left: from here on it says where it is.
+
+        An order to join that got no answer may still be carried out, and would bring
+        it back into its old group.
+        """
+        left = self.has_left.get(instance.id)
+        membership = instance.membership
+        if membership is None or (membership.group, membership.epoch) != left:
+            self.has_left.pop(instance.id, None)
+
+    def _left_it(self, instance: InstanceId, membership: Membership) -> bool:
+        return self.has_left.get(instance) == (membership.group, membership.epoch)
+
+    def orphans(self) -> list[tuple[Instance, Membership]]:
+        """Return the usable instances in groups whose head is not listed."""
+        heads = {
+            (row.membership.group, row.membership.epoch)
+            for row in self.instances.values()
+            if row.membership is not None and row.membership.rank == 0
+        }
+        return [
+            (row, row.membership)
+            for row in self.instances.values()
+            if row.membership is not None
+            and (row.membership.group, row.membership.epoch) not in heads
+            and self.usable(row.id)
+            and not self._left_it(row.id, row.membership)
+        ]
 
     def join_s(self, instance: InstanceId, spec: ModelSpec) -> float:
         if self.last_model.get(instance) == spec.name:
