Domains begin with few models, laid out once the list has filled

Cause: with both models in each domain of 10, a spare fits a lost member's place in half of the cases; what does not fit idles or loads for 12 to 16 s, and only 7 load at once.

Change: a domain gets as few models as the shares allow, each data centre all of them. Blank instances load what callers lack, then what completes a group, then the model with most members for each spare in the domain.

--- a/briarpond/placement/_formation.py
+++ b/briarpond/placement/_formation.py
@@ -7,9 +7,10 @@
 from briarpond.ids import FabricDomain, GroupId, InstanceId
 from briarpond.routes import ModelName, ModelSpec
 
+from ._layout import Quotas
 from ._loads import LoadBudget
 from ._models import PlannedGroup, Stage
-from ._roster import SHARE_IN_GROUPS, Roster
+from ._roster import Roster
 
 EPOCHS_PER_TERM = 1_000_000
 # Extra time for a member to become ready, beyond what its join should take.
@@ -39,12 +40,15 @@
     ----------
     term : int
         Number of the planner's lease, with which epochs begin.
+    quotas : mapping
+        Groups of each model that each domain begins with, before callers come.
     """
 
     def __init__(
         self, roster: Roster, loads: LoadBudget, numbers: Iterator[int], term: int
     ) -> None:
         self.term = term
+        self.quotas: Quotas = {}
         self._roster = roster
         self._loads = loads
         self._numbers = numbers
@@ -75,12 +79,10 @@
         if not rows:
             return False
         soon = [row for row in rows if self.joins_soon(row, spec)]
-        satisfaction = self._roster.satisfaction(spec, demand)
-        spares = SPARES_PER_MODEL if satisfaction >= AMPLE else 0
-        if not self._loads.counts:
-            if self._groups_in(rows, spec) >= self._quota(rows, spec):
-                return False
-            spares = SPARES_AT_START
+        ample = self._roster.satisfaction(spec, demand) >= AMPLE
+        spares = SPARES_PER_MODEL if self._loads.counts and ample else 0
+        if not self._loads.counts and self._quota_is_met(rows[0].domain, spec):
+            return False
         if len(soon) < spec.size + spares:
             return False
         soon.sort(key=lambda row: (self._roster.join_s(row.id, spec), row.id))
@@ -93,22 +95,10 @@
         self._add(spec, tuple(row.id for row in chosen), Stage.JOINING, now)
         return True
 
-    def _quota(self, rows: list[Instance], spec: ModelSpec) -> int:
-        """Return how many groups a domain begins with, by the model's expected share."""
-        domain = rows[0].domain
-        count = sum(1 for row in self._roster.instances.values() if row.domain == domain)
-        total = sum(model.share for model in self._roster.engine.models) or 1.0
-        return round(count * SHARE_IN_GROUPS * spec.share / total / spec.size)
-
-    def _groups_in(self, rows: list[Instance], spec: ModelSpec) -> int:
-        """Return how many groups of a model a domain has."""
-        domain = rows[0].domain
-        heads = [
-            self._roster.instances.get(group.head)
-            for group in self._roster.groups.values()
-            if group.model == spec.name and group.stage is not Stage.PREPARING
-        ]
-        return sum(1 for head in heads if head is not None and head.domain == domain)
+    def _quota_is_met(self, domain: FabricDomain, spec: ModelSpec) -> bool:
+        """Whether a domain has the groups of a model that it begins with."""
+        wanted = self.quotas.get(domain, {}).get(spec.name, 0)
+        return self._roster.grouped_in(domain)[spec.name] >= wanted * spec.size
 
     def joins_soon(self, row: Instance, spec: ModelSpec) -> bool:
         """Whether an instance joins without a load, or loads are still quick."""
@@ -124,7 +114,7 @@
     ) -> None:
         """Let idle instances load the model that their domain lacks most."""
         preparing = self._roster.preparing()
-        for rows in free.values():
+        for domain, rows in free.items():
             have: dict[ModelName, int] = defaultdict(int)
             for row in rows:
                 model = preparing.get(row.id) or self._roster.last_model.get(row.id)
@@ -132,31 +122,47 @@
                     have[model] += 1
             idle = [row for row in rows if row.id not in preparing]
             blank = [row for row in idle if row.id not in self._roster.last_model]
-            for row in blank:
-                self._prepare_one(row, self._model_lacked(have, len(blank), demand), have, now)
+            for index, row in enumerate(blank):
+                spec = self._model_lacked(domain, have, len(blank) - index, demand)
+                self._prepare_one(row, spec, have, now)
             if not blank and not any(row.id in preparing for row in rows):
                 self._convert(idle, have, demand, now)
 
     def _model_lacked(
-        self, have: Mapping[ModelName, int], blank: int, demand: Mapping[ModelName, float]
+        self,
+        domain: FabricDomain,
+        have: Mapping[ModelName, int],
+        blank: int,
+        demand: Mapping[ModelName, float],
     ) -> ModelSpec:
         """Return the model for an instance that knows none.
 
-        First one whose next group can be completed, then one that callers lack, then
-        one with few spares in all domains for its size: a large group loses most with
-        one member.
+        First one that callers lack, then one whose next group can be completed, then
+        the one that has most members for each spare in the domain: there a loss is
+        most likely to need it.
         """
-        spares = self._roster.spares()
+        members = self._members_in(domain)
 
         def lack(spec: ModelSpec) -> tuple[bool, bool, float, int]:
             have_now = have.get(spec.name, 0)
             missing = spec.size - have_now % spec.size
             completes = have_now % spec.size > 0 and missing <= blank
             ample = self._roster.satisfaction(spec, demand) >= AMPLE
-            return not completes, ample, spares[spec.name] / spec.size, -spec.size
+            exposed = members[spec.name] / (1 + have_now)
+            return ample, not completes, -exposed, -spec.size
 
         return min(self._roster.engine.models, key=lack)
 
+    def _members_in(self, domain: FabricDomain) -> Mapping[ModelName, int]:
+        """Return how many members the groups of each model have or will have in a domain."""
+        if self._loads.counts:
+            return self._roster.grouped_in(domain)
+        quota = self.quotas.get(domain, {})
+        members = defaultdict(int)
+        for spec in self._roster.engine.models:
+            members[spec.name] = quota.get(spec.name, 0) * spec.size
+        return members
+
     def _prepare_one(
         self, row: Instance, spec: ModelSpec, have: dict[ModelName, int], now: float
     ) -> bool:
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -18,6 +18,7 @@
 from briarpond.routes import EngineSpec, ModelName
 
 from ._formation import JOIN_PATIENCE_S, LATE_FACTOR, Formation
+from ._layout import first_layout
 from ._loads import LoadBudget
 from ._models import Order, OrderKind, PlannedGroup, Stage
 from ._roster import Roster
@@ -30,6 +31,10 @@
 # Orders that an instance left unanswered may be carried out this much later.
 LATE_ORDER_S = 12.0
 STALL_MARGIN_S = 0.4
+# Before callers come, domains are laid out once the list has not grown for so long,
+LIST_QUIET_S = 0.35
+# at the latest this long after its first entry: instances enter it one by one.
+LIST_FILLS_S = 1.5
 
 
 class Planner:
@@ -64,12 +69,18 @@
         self._born: dict[InstanceId, int] = {}
         self._released: dict[tuple[GroupId, int], float] = {}
         self._told_to_leave: dict[InstanceId, float] = {}
+        self._first_seen_at = float("inf")
+        self._grew_at = float("-inf")
 
     # What the planner is told
 
     def update(self, instances: Iterable[Instance], now: float) -> None:
         """Take the present list of instances."""
+        known = len(self._roster.instances)
         self._roster.instances = {instance.id: instance for instance in instances}
+        if len(self._roster.instances) > known:
+            self._first_seen_at = min(self._first_seen_at, now)
+            self._grew_at = now
         for instance in self._roster.instances.values():
             self._notice_restart(instance)
             self._roster.notice_left(instance)
@@ -148,16 +159,27 @@
         orders = self._free_orphans(now)
         for group in list(self.groups.values()):
             orders += self._drive(group, now)
+        if self._loads.counts or self._list_has_filled(now):
+            self._form(demand, now)
+        for group in self.groups.values():
+            if group.since == now and group.stage in (Stage.JOINING, Stage.PREPARING):
+                orders += self._drive(group, now)
+        return orders
+
+    def _list_has_filled(self, now: float) -> bool:
+        quiet = now - self._grew_at >= LIST_QUIET_S
+        return quiet or now - self._first_seen_at >= LIST_FILLS_S
+
+    def _form(self, demand: Mapping[ModelName, float], now: float) -> None:
+        if not self._loads.counts:
+            instances = self._roster.instances.values()
+            self._formation.quotas = first_layout(self._roster.engine, instances)
         free = self._roster.free_by_domain(now)
         self._replace_slow(free, now)
         for domain in sorted(free, key=lambda each: -len(free[each])):
             self._formation.form_in(domain, free, demand, now)
         self._roster.note_free(free, now)
         self._formation.prepare(free, demand, now)
-        for group in self.groups.values():
-            if group.since == now and group.stage in (Stage.JOINING, Stage.PREPARING):
-                orders += self._drive(group, now)
-        return orders
 
     def serving(self, now: float) -> list[PlannedGroup]:
         """Return the groups that take requests."""
--- a/briarpond/placement/_roster.py
+++ b/briarpond/placement/_roster.py
@@ -162,16 +162,13 @@
                     count += 1
         return count
 
-    def spares(self) -> dict[ModelName, int]:
-        """Return how many idle instances know each model, or are about to."""
-        grouped = {
-            member
-            for group in self.groups.values()
-            if group.stage is not Stage.PREPARING
-            for member in group.members
-        }
-        spares: dict[ModelName, int] = defaultdict(int)
-        for instance_id, model in self.last_model.items():
-            if instance_id not in grouped and self.usable(instance_id):
-                spares[model] += 1
-        return spares
+    def grouped_in(self, domain: FabricDomain) -> Mapping[ModelName, int]:
+        """Return how many members the groups of each model have in a domain."""
+        members: dict[ModelName, int] = defaultdict(int)
+        for group in self.groups.values():
+            if group.stage not in (Stage.JOINING, Stage.OPENING, Stage.OPEN):
+                continue
+            head = self.instances.get(group.head)
+            if head is not None and head.domain == domain:
+                members[group.model] += len(group.members)
+        return members
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -50,6 +50,12 @@
     world, planner = calm()
     group = next(g for g in planner.groups.values() if g.model == model)
     rest = set(group.members[1:])
+    domain = world.servers[group.head].domain
+    grouped = {member for each in planner.groups.values() for member in each.members}
+    spares = sorted(set(world.servers) - grouped, key=lambda n: world.servers[n].domain != domain)
+    for name in spares[1:]:
+        world.kill(name)
+    world.refresh()
     world.servers[group.head].cut_off = True
     world.run(planner, 2.0, MORE)
     assert {(member, group.id) for member in rest} <= set(world.left)
