The whole plan is repeated until it has gone out

The planner sends the whole plan again each 1.2 s for nodes that missed it, but each look-up of addresses made a heartbeat too, which was never sent and used that repeat up.

Change: asking for the plan changes nothing; only a heartbeat that is sent counts as the repeat. Look-ups use a presence without plan, loads and demand.

Ruled out: a plan that is not fresh.

--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -332,9 +332,23 @@
 
     # Nodes
 
+    def _presence(self) -> Beat:
+        """Return what look-ups of addresses need to know of this node."""
+        settings = self._settings
+        return Beat(
+            node=settings.node,
+            callers=settings.callers,
+            data_centre=settings.data_centre,
+            ready=self.ready,
+            leaving=self.state.leaving,
+        )
+
     def _beat(self) -> Beat:
+        """Return the heartbeat that is about to be sent."""
         state = self.state
         now = self._clock.now()
+        plan = self._planner.plan(now)
+        self._planner.note_sent(now)
         return Beat(
             node=self._settings.node,
             callers=self._settings.callers,
@@ -344,7 +358,7 @@
             servers=tuple(ServerRow(*row) for row in state.loads.own_rows()),
             demand=state.demand(now),
             stalled=tuple(self._stalled),
-            plan=self._planner.plan(now),
+            plan=plan,
             candidate=self._lease.is_candidate(now),
             clock_ms=int(now * 1000),
             config_version=0 if state.config is None else state.config.version,
@@ -381,7 +395,8 @@
             reply.whole(404, (), b"")
             return
         now = self._clock.now()
-        addresses = self._peers.book.addresses(self._beat(), query.data_centre, self.state.rng, now)
+        own = self._presence()
+        addresses = self._peers.book.addresses(own, query.data_centre, self.state.rng, now)
         if not addresses:
             reply.whole(503, (), b"")
             return
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -85,13 +85,20 @@
         """
         if not self._planners:
             return None
-        again = now - self._sent_whole_at >= WHOLE_PLAN_S
-        whole = again or now - self._told_at < NEW_PLAN_S
-        if again:
-            self._sent_whole_at = now
-        targets = self._told if whole else None
+        targets = self._told if self._tells_whole(now) else None
         return Plan(self._term, self._sequence, self._fresh(now), targets)
 
+    def note_sent(self, now: float) -> None:
+        """What `plan` returned has gone out to the other nodes."""
+        if self._repeat_is_due(now):
+            self._sent_whole_at = now
+
+    def _tells_whole(self, now: float) -> bool:
+        return now - self._told_at < NEW_PLAN_S or self._repeat_is_due(now)
+
+    def _repeat_is_due(self, now: float) -> bool:
+        return now - self._sent_whole_at >= WHOLE_PLAN_S
+
     def check(self, server: InstanceId) -> None:
         """A head stands still: find out which member is lost."""
         for planner in self._planners.values():
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -41,3 +41,16 @@
     gateway.state.fleet.outage_ended(gateway.clock.now())
     assert not step_after(node, 2.0)
     assert step_after(node, 0.6)
+
+
+def test_whole_plan_is_repeated_until_it_has_gone_out(node):
+    """Look-ups of addresses once used the repeat up: nodes then followed the list themselves."""
+    gateway, link = node
+    assert step_after(node, 0.5)
+    gateway.clock.time += 1.4
+    now = gateway.clock.now()
+    assert link.plan(now).targets is not None
+    assert link.plan(now + 0.01).targets is not None
+    link.note_sent(now + 0.01)
+    assert link.plan(now + 0.02).targets is None
+    assert link.plan(now + 1.3).targets is not None
