A restarted node plans 2.5 s after its first list at the earliest

A node that boots just after an outage of the store has not seen it: entries of living instances may still be missing from its first list. Since members whose head is not listed are told to leave, such a planner would also take whole groups apart.

Change: unless the whole system starts for the first time, the first list counts as read just after an outage. The soak tells restarted nodes so.

Tests: view and planner, which failed before.

--- a/briarpond/fleet/_view.py
+++ b/briarpond/fleet/_view.py
@@ -23,13 +23,20 @@
 class FleetView:
     """Folds changes of the list; keeps lapsed entries for a while after an outage.
 
+    Parameters
+    ----------
+    first_start : bool
+        Whether the whole system starts for the first time. Otherwise an outage may
+        have ended just before the list is first read, with entries still missing.
+
     Attributes
     ----------
     left : dict
         Instances that are draining or were removed, with the time they were seen so.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, first_start: bool = True) -> None:
+        self._may_lack_entries = not first_start
         self._rows: dict[InstanceId, _Row] = {}
         self._trusted_after = 0.0
         self.left: dict[InstanceId, float] = {}
@@ -56,7 +63,10 @@
             self._forget(instance, now)
 
     def replace_all(self, instances: Iterable[Instance], now: float) -> None:
-        """Take the whole list, as read after a gap."""
+        """Take the whole list, as read at the start or after a gap."""
+        if self._may_lack_entries:
+            self._may_lack_entries = False
+            self.outage_ended(now)
         listed = {instance.id: instance for instance in instances}
         for instance_id in list(self._rows):
             if instance_id not in listed:
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -33,7 +33,7 @@
         self.client = client
         self.rng = random.Random()
         self.table: RouteTable | None = None
-        self.fleet = FleetView()
+        self.fleet = FleetView(settings.first_start)
         self.loads = LoadBook()
         self.paces = PaceBook()
         self.metrics = GatewayMetrics()
--- a/briarpond/platform/_settings.py
+++ b/briarpond/platform/_settings.py
@@ -74,6 +74,8 @@
         Listeners for requests, for the readiness check and for address look-ups.
     peer_port : int
         UDP port for messages between nodes, the same on all of them.
+    first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     node: NodeId
@@ -85,6 +87,7 @@
     peer_port: int
     store: StoreSettings
     bounds: BoundSettings
+    first_start: bool = False
 
 
 class _Listen(msgspec.Struct):
@@ -119,6 +122,7 @@
     internalPorts: list[int]  # noqa: N815
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    bootstrap: bool = False
 
 
 def load_gateway_settings(path: Path) -> Result[GatewaySettings, SettingsProblem]:
@@ -177,4 +181,5 @@
             loads_factor=bounds.ceilingFactor,
             directory_ttl_max_s=bounds.ttl_max_s,
         ),
+        first_start=file.bootstrap,
     )
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -32,6 +32,19 @@
     assert view.left.keys() == {"b"}
 
 
+def test_list_that_a_restarted_node_reads_first_may_lack_entries_after_an_outage():
+    """It has not seen the outage that may have ended just before it began."""
+    restarted = FleetView(first_start=False)
+    restarted.replace_all([row("a")], 100.0)
+    assert not restarted.trusted(101.9)
+    assert restarted.trusted(102.5)
+    restarted.replace_all([row("a"), row("b")], 110.0)
+    assert restarted.trusted(110.0)
+    first = FleetView(first_start=True)
+    first.replace_all([row("a")], 100.0)
+    assert first.trusted(100.0)
+
+
 def test_draining_instance_takes_no_new_work():
     view = FleetView()
     view.put(row("a", state="draining"), 3.0)
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarpond.fleet import FleetView
 from briarpond.gateway._planner_link import PlannerLink
 
 from .world import Gateway, instance
@@ -43,6 +44,16 @@
     assert step_after(node, 0.6)
 
 
+def test_restarted_node_does_not_plan_at_once_on_its_first_list(node):
+    """Its members' heads may be about to come back: it would let them leave."""
+    gateway, _ = node
+    fleet = FleetView(first_start=False)
+    gateway.state.fleet = fleet
+    fleet.replace_all([instance("i-1")], gateway.clock.now())
+    assert not step_after(node, 2.0)
+    assert step_after(node, 0.6)
+
+
 def test_whole_plan_is_repeated_until_it_has_gone_out(node):
     """Look-ups of addresses once used the repeat up: nodes then followed the list themselves."""
     gateway, link = node
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -32,24 +32,27 @@
         self.name = f"n{number}"
         self.path = world.folder / f"{self.name}.yaml"
         self.proxy = Proxy(world.store_port)
+        self.store_port: int | None = None
         self.process: subprocess.Popen | None = None
         self.stopping = False
 
     async def start(self) -> None:
-        if not self.path.exists():
-            port = await self.proxy.start()
-            self.path.write_text(self.settings(port))
+        first_start = self.store_port is None
+        if self.store_port is None:
+            self.store_port = await self.proxy.start()
+        self.path.write_text(self.settings(self.store_port, first_start))
         log = (self.world.folder / f"{self.name}.log").open("ab")
         env = {**os.environ, "BRIARPOND_SETTINGS": str(self.path), "PYTHONPATH": str(ROOT)}
         command = [sys.executable, "-m", "briarpond.gateway"]
         self.process = subprocess.Popen(command, cwd=ROOT, env=env, stdout=log, stderr=log)
         self.stopping = False
 
-    def settings(self, port: int) -> str:
+    def settings(self, port: int, first_start: bool) -> str:
         bounds = {"graceS": 8, "drainMs": 2000, "revokeMs": 5000, "stallMs": 1000}
         return json.dumps(
             {
                 "nodeName": self.name,
+                "bootstrap": first_start,
                 "ip": self.ip,
                 "zone": "z",
                 "listen": {
