A node goes by its own list only once it was read after the planner's last word

Nodes that are told by the planner do not read the list. When the plan is no longer fresh they went over to their own view at once, and read what they had missed up to 0.2 s later.

Ruled out: the planner or its heartbeats being late. The planner noted the departure 26 ms after the store and told it at once.

Change: of the planner's word and the own list the younger counts, for plain servers, groups and departures alike.

--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -99,6 +99,7 @@
             self._needs_list,
             lambda: TAKE_OVER_WAIT_S if self._planner.taking_over else WAIT_S,
         )
+        self.state.list_known_at = lambda: self._instances_feed.fresh_at
         peer_address = Address(settings.host, settings.peer_port)
         self._peers = PeerLink(
             clock,
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
 
 from briarpond.directory import Beat, DemandRow, PlainRow, Plan, PlanRow, Targets
 from briarpond.dispatch import LoadBook, PaceBook, RetryBudget, Work, place_s
@@ -25,7 +26,14 @@
 
 
 class NodeState:
-    """Configuration, fleet, loads and plan as this node knows them."""
+    """Configuration, fleet, loads and plan as this node knows them.
+
+    Attributes
+    ----------
+    list_known_at : callable
+        Returns up to when this node itself knows the list of instances; None if it
+        has not read it.
+    """
 
     def __init__(self, settings: GatewaySettings, clock: Clock, client: HttpClient) -> None:
         self.settings = settings
@@ -40,7 +48,9 @@
         self.leaving = False
         self.plan: Plan | None = None
         self.nodes = 1
+        self.list_known_at: Callable[[], float | None] = lambda: None
         self._plan_at = float("-inf")
+        self._fresh_plan_at = float("-inf")
         self._planner_heard_at = float("-inf")
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._avoid: dict[InstanceId, float] = {}
@@ -82,6 +92,8 @@
         self.plan = plan
         if self._targets_of == number:
             self._plan_at = now
+            if plan.fresh:
+                self._fresh_plan_at = now
 
     def _welcome_new(self, targets: Targets) -> None:
         """A head that was avoided serves again once it heads a new group."""
@@ -104,20 +116,34 @@
 
     def groups(self, now: float) -> tuple[PlanRow, ...]:
         """Return the groups that serve."""
-        return self._targets.groups if self.plan_holds(now) else self.targets_seen().groups
+        if self.plan_holds(now) or self._list_is_older_than(self._plan_at):
+            return self._targets.groups
+        return self.targets_seen().groups
 
     def servers(self, now: float) -> tuple[PlainRow, ...]:
         """Return the plain servers that take requests."""
-        if not self.needs_list(now):
+        if not self._goes_by_list(now):
             return self._targets.servers
         return self.targets_seen().servers or self._targets.servers
 
     def has_left(self, server: InstanceId, now: float) -> bool:
-        """Whether a server leaves or has left, as far as this node follows the list.
+        """Whether a server leaves or has left, as far as this node goes by the list.
 
         A node that is told by the planner does not: what it saw before may be old.
         """
-        return server in self.fleet.left and self.needs_list(now)
+        return server in self.fleet.left and self._goes_by_list(now)
+
+    def _goes_by_list(self, now: float) -> bool:
+        """Whether this node's own view of the list counts, not the planner's word.
+
+        A node that has to follow the list again needs a moment to read what it missed;
+        until then, what the planner said last is the younger knowledge.
+        """
+        return self.needs_list(now) and not self._list_is_older_than(self._fresh_plan_at)
+
+    def _list_is_older_than(self, told_at: float) -> bool:
+        known_at = self.list_known_at()
+        return told_at > (float("-inf") if known_at is None else known_at)
 
     def targets_seen(self) -> Targets:
         """Return the targets by this node's own view of the list."""
