The planner's reads of the list wait 1 s

Cause: a read that a record answers confirms only the time when it was sent, as the answer may have been held up.

Change: 1 s, so that two waits fit.

--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -48,6 +48,9 @@
 PLANNER_PACE_S = 0.05
 # A node that is about to plan reads the list often, to see all that was done before.
 TAKE_OVER_WAIT_S = 0.05
+# A record at the end of a wait confirms the time when the read was sent; the next wait
+# must end before the plan counts as old.
+PLANNER_WAIT_S = 1.0
 HOUSEKEEPING_S = 1.0
 SETTLE_S = 0.2
 STOP_EVERY_S = 0.05
@@ -97,7 +100,7 @@
             self._instances_pace,
             self._on_store_regained,
             self._needs_list,
-            lambda: TAKE_OVER_WAIT_S if self._planner.taking_over else WAIT_S,
+            self._instances_wait_s,
         )
         self.state.list_known_at = lambda: self._instances_feed.fresh_at
         peer_address = Address(settings.host, settings.peer_port)
@@ -328,6 +331,11 @@
         plans = self._planner.planning or self._lease.holds(self._clock.now())
         return PLANNER_PACE_S if plans else INSTANCES_PACE_S
 
+    def _instances_wait_s(self) -> float:
+        if self._planner.taking_over:
+            return TAKE_OVER_WAIT_S
+        return PLANNER_WAIT_S if self._planner.planning else WAIT_S
+
     def _on_store_regained(self) -> None:
         self.state.fleet.outage_ended(self._clock.now())
 
