One sentinel for both faces

Cause: the component that ends the process on a broken invariant stood twice, in daemon and gateway, with one difference: the daemon lets pass what circuits.web raises while it parses a caller's bytes.

Change: briarpond.net has the one copy; that difference is an argument. No change of behaviour.

--- a/briarpond/daemon/_app.py
+++ b/briarpond/daemon/_app.py
@@ -2,44 +2,28 @@
 
 import signal
 
-from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 from circuits.web.http import HTTP
 
 from briarpond.conf import Settings
-from briarpond.logs import log_event, log_fatal_event, log_warning
-from briarpond.net import Clock, Connector, HttpClient
+from briarpond.logs import log_event, log_warning
+from briarpond.net import Clock, Connector, HttpClient, Sentinel
 
 from ._assembly import Assembly
 from ._inbound import Listener
 from ._peer_net import PeerCaller, PeerServer
 
-EXIT_INVARIANT = 70
 
+def forgives_malformed(exc: BaseException, raiser, event) -> bool:
+    """Whether `circuits.web` raised an exception while it parsed what a caller sent.
 
-class Sentinel(BaseComponent):
-    """Stops the process when an exception shows a broken invariant.
-
-    An exception that circuits.web raises while it parses what a caller sent is
-    not one: the connection is closed and the process goes on.
+    The connection is closed and the process goes on.
     """
-
-    channel = "*"
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.exit_code = 0
-
-    @handler("exception", channel="*", priority=10)
-    def _on_exception(self, kind, exc, trace, handler=None, fevent=None) -> None:
-        owner = getattr(handler, "__self__", None)
-        if isinstance(owner, HTTP) and fevent is not None and fevent.name == "read":
-            log_warning("malformed_request", error=repr(exc))
-            return
-        lines = trace if isinstance(trace, list) else [str(trace)]
-        log_fatal_event("broken_invariant", error=repr(exc), trace="".join(lines))
-        self.exit_code = EXIT_INVARIANT
-        self.root.stop(EXIT_INVARIANT)
+    owner = getattr(raiser, "__self__", None)
+    if not isinstance(owner, HTTP) or event is None or event.name != "read":
+        return False
+    log_warning("malformed_request", error=repr(exc))
+    return True
 
 
 class App:
@@ -48,7 +32,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._clock = Clock()
-        self._sentinel = Sentinel()
+        self._sentinel = Sentinel(forgives_malformed)
         poller = EPoll()
         connector = Connector(self._clock, poller)
         for component in (poller, self._sentinel, connector):
--- a/briarpond/gateway/_main.py
+++ b/briarpond/gateway/_main.py
@@ -5,39 +5,19 @@
 import sys
 from pathlib import Path
 
-from circuits import BaseComponent, handler
-
 from briarpond.logs import install_sink, log_event, log_fatal_event, log_warning
-from briarpond.net import Clock, Connector, DirectPoller
+from briarpond.net import Clock, Connector, DirectPoller, Sentinel
 from briarpond.platform import load_gateway_settings, settings_path
 
 from ._node import Node
 
 EXIT_SETTINGS = 78
-EXIT_INVARIANT = 70
 WRITE_LOG_S = 0.05
 WATCH_SETTINGS_S = 1.0
 # The last answers and messages leave the process before it ends.
 LAST_BYTES_S = 0.2
 
 
-class Sentinel(BaseComponent):
-    """Stops the process when an exception shows a broken invariant."""
-
-    channel = "*"
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.exit_code = 0
-
-    @handler("exception", channel="*", priority=10)
-    def _on_exception(self, kind, exc, trace, handler=None, fevent=None) -> None:
-        lines = trace if isinstance(trace, list) else [str(trace)]
-        log_fatal_event("broken_invariant", error=repr(exc), trace="".join(lines))
-        self.exit_code = EXIT_INVARIANT
-        self.root.stop(EXIT_INVARIANT)
-
-
 class Process:
     """The loop, the signals and the settings file around a node."""
 
--- a/briarpond/net/__init__.py
+++ b/briarpond/net/__init__.py
@@ -8,6 +8,7 @@
 from ._loss import LossReason
 from ._outbound import Connection, ConnectionUser, Connector
 from ._poller import DirectPoller
+from ._sentinel import EXIT_INVARIANT, Sentinel
 
 __all__ = [
     "Address",
@@ -18,6 +19,7 @@
     "ConnectionUser",
     "Connector",
     "DirectPoller",
+    "EXIT_INVARIANT",
     "Exchange",
     "FaceLimits",
     "Headers",
@@ -27,6 +29,7 @@
     "HttpReply",
     "HttpRequest",
     "LossReason",
+    "Sentinel",
     "TcpListener",
     "Timer",
 ]
