--- a/briarpond/gateway/__init__.py
+++ b/briarpond/gateway/__init__.py
@@ -1,5 +1,5 @@
-"""Serving on the users' platform: sockets and timers around the decisions."""
+"""Serving on the users' platform: sockets and timers around the decisions.
 
-from ._main import main
-
-__all__ = ["main"]
+The program is ``python -m briarpond.gateway``. Nothing is imported here, so that its
+first lines run before the modules are loaded.
+"""
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -31,6 +31,20 @@
     assert process.returncode == 78 and b"gateway.E003" in out
 
 
+def test_start_loads_nothing_that_only_declares_a_namespace():
+    command = [sys.executable, "-X", "importtime", *COMMAND[1:]]
+    process = subprocess.run(
+        command, cwd=ROOT, env={**os.environ, "BRIARPOND_SETTINGS": ""}, capture_output=True
+    )
+    assert process.returncode == 78
+    assert b"circuits.core" in process.stderr and b"pkg_resources" not in process.stderr
+
+
+def test_first_lines_run_before_the_modules_are_loaded():
+    check = "import sys, briarpond.gateway; sys.exit('circuits' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", check], cwd=ROOT).returncode == 0
+
+
 def test_stop_while_modules_are_loaded_is_an_end_in_good_order(tmp_path):
     """Seed 1 of the soak: a node was told to stop right after its start, and died of it.
 
