Entries missing after an outage nobody watched get no new work; younger plans

A node that is told by the planner does not read the list; a read that had failed before counted as the end of an outage only when the node read again, seconds later. What was removed meanwhile then kept its grace of 1.2 s, on top of the 0.7 s that the node had gone by the planner's word.

Change: after an outage whose end the node has not watched, a missing entry gets no new work; for planning it is still distrusted. Besides, a planner vouches for a view of at most 1.25 s and reads each 0.5 s: with 2.6 s a planner that lost the store silently kept all nodes from a departure for longer than the bound.

Tests: view, feed and the sum of the times against the bound.

--- a/briarpond/fleet/_view.py
+++ b/briarpond/fleet/_view.py
@@ -39,6 +39,7 @@
         self._may_lack_entries = not first_start
         self._rows: dict[InstanceId, _Row] = {}
         self._trusted_after = 0.0
+        self._uses_missing = True
         self.left: dict[InstanceId, float] = {}
         self.version = 0
 
@@ -59,6 +60,8 @@
         self.version += 1
         if now < self._trusted_after:
             row.missing_since = now
+            if not self._uses_missing:
+                self.left.setdefault(instance, now)
         else:
             self._forget(instance, now)
 
@@ -76,9 +79,17 @@
             if known is None or known.instance != instance or known.missing_since is not None:
                 self.put(instance, now)
 
-    def outage_ended(self, now: float) -> None:
-        """Distrust removals for a moment: living instances write their entries anew."""
+    def outage_ended(self, now: float, watched: bool = True) -> None:
+        """Distrust removals for a moment: living instances write their entries anew.
+
+        Parameters
+        ----------
+        watched : bool
+            Whether the store was asked all the while. If not, its outage may have ended
+            long ago, and what was removed may have left long ago: it gets no new work.
+        """
         self._trusted_after = now + RETURN_GRACE_S
+        self._uses_missing = watched
 
     def trusted(self, now: float) -> bool:
         """Whether living instances have had time to write their entries after an outage."""
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -50,7 +50,9 @@
 TAKE_OVER_WAIT_S = 0.05
 # A record at the end of a wait confirms the time when the read was sent; the next wait
 # must end before the plan counts as old.
-PLANNER_WAIT_S = 1.0
+PLANNER_WAIT_S = 0.5
+# A store that did not answer is asked again sooner than this, while it is needed.
+STORE_WATCHED_S = 2.0
 HOUSEKEEPING_S = 1.0
 SETTLE_S = 0.2
 STOP_EVERY_S = 0.05
@@ -336,8 +338,9 @@
             return TAKE_OVER_WAIT_S
         return PLANNER_WAIT_S if self._planner.planning else WAIT_S
 
-    def _on_store_regained(self) -> None:
-        self.state.fleet.outage_ended(self._clock.now())
+    def _on_store_regained(self, unwatched_s: float) -> None:
+        watched = unwatched_s <= STORE_WATCHED_S
+        self.state.fleet.outage_ended(self._clock.now(), watched)
 
     # Nodes
 
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -32,8 +32,10 @@
 # A new plan goes along with each heartbeat for so long, later at this interval.
 NEW_PLAN_S = 1.3
 WHOLE_PLAN_S = 1.2
-# A waiting read of the list leaves its age below this.
-VIEW_FRESH_S = 2.6
+# A planner whose view of the list is older does not vouch for it: the others read the
+# list themselves. They must have done so well within the bound on departures of 2 s,
+# also when the planner lost the store silently just before a departure.
+VIEW_FRESH_S = 1.25
 ORDER_TIMEOUT_S = 0.4
 PROBE_TIMEOUT_S = 0.3
 # Probes in a row without an answer after which an instance counts as lost.
--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -57,6 +57,8 @@
         Returns how long to wait after an answer with records.
     wanted : callable
         Whether the topic is followed at present.
+    on_regained : callable
+        Called at the first answer after a failure, with the seconds since the last one.
     wait_s : callable
         Returns how long a read waits for the next record.
 
@@ -74,7 +76,7 @@
         on_snapshot: Callable[[Sequence[Entry]], None],
         on_entries: Callable[[Sequence[Entry]], None],
         pace_s: Callable[[], float] = lambda: 0.0,
-        on_regained: Callable[[], None] = lambda: None,
+        on_regained: Callable[[float], None] = lambda unwatched_s: None,
         wanted: Callable[[], bool] = lambda: True,
         wait_s: Callable[[], float] = lambda: WAIT_S,
     ) -> None:
@@ -96,6 +98,7 @@
         self._offset = 0
         self._asked_at = 0.0
         self._failures = 0
+        self._failed_at = float("-inf")
 
     def start(self) -> None:
         """Begin to follow."""
@@ -175,13 +178,14 @@
         if self._failures:
             log_event("store_regained", topic=self._topic, failures=self._failures)
             self._failures = 0
-            self._on_regained()
+            self._on_regained(self._clock.now() - self._failed_at)
 
     def _lost(self, reason: LossReason) -> None:
         self._failed(reason.value)
 
     def _failed(self, why: str) -> None:
         self._failures += 1
+        self._failed_at = self._clock.now()
         if self._failures == 1:
             log_warning("store_lost", topic=self._topic, reason=why)
         delay = min(RETRY_MOST_S, RETRY_S * self._failures)
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -32,6 +32,20 @@
     assert view.left.keys() == {"b"}
 
 
+def test_entry_that_is_missing_after_an_outage_nobody_watched_gets_no_new_work():
+    """Derwent hunt-0bf1-27: the list was read again 10 s after its store had failed."""
+    view = FleetView()
+    view.put(row("a"), 0.0)
+    view.outage_ended(10.0, watched=False)
+    view.remove("a", 10.0)
+    assert "a" in view.left and not view.trusted(10.0)
+    view.put(row("a"), 11.0)
+    assert "a" not in view.left
+    view.outage_ended(20.0, watched=True)
+    view.remove("a", 20.0)
+    assert "a" not in view.left
+
+
 def test_list_that_a_restarted_node_reads_first_may_lack_entries_after_an_outage():
     """It has not seen the outage that may have ended just before it began."""
     restarted = FleetView(first_start=False)
