A planner tells nobody of servers that get no new work

Its entry was kept as missing after the planner's own outage; the node itself gave it no work, but its word to the others did not say so, and nodes that are told do not ask their own list. Requests reached it for 0.1 s, 2,164 and 2,192 ms after the departure.

Change: what is told leaves out whatever gets no new work, heads of groups too; a change of that counts as a new version of the view. Test: failed before.

--- a/briarpond/fleet/_view.py
+++ b/briarpond/fleet/_view.py
@@ -103,8 +103,9 @@
             if now >= self._trusted_after:
                 self._forget(instance_id, now)
                 self.version += 1
-            elif now - row.missing_since >= MISSING_USE_S:
-                self.left.setdefault(instance_id, now)
+            elif now - row.missing_since >= MISSING_USE_S and instance_id not in self.left:
+                self.left[instance_id] = now
+                self.version += 1
 
     def get(self, instance: InstanceId) -> Instance | None:
         """Return the entry of an instance."""
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -191,12 +191,14 @@
         return tuple(
             PlanRow(group.id, group.epoch, group.model, group.head, group.head_address)
             for group in groups_of(self.fleet.all())
-            if group.state is MemberState.OPEN
+            if group.state is MemberState.OPEN and group.head not in self.fleet.left
         )
 
     def _servers_seen(self) -> tuple[PlainRow, ...]:
         return tuple(
             PlainRow(row.id, row.service, row.address, row.data_centre, row.slots)
             for row in self.fleet.all()
-            if row.state is InstanceState.READY and self.engine(row.service) is None
+            if row.state is InstanceState.READY
+            and row.id not in self.fleet.left
+            and self.engine(row.service) is None
         )
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -60,3 +60,16 @@
     assert node.state.groups(node.clock.now()) == told
     node.read_at = node.clock.now()
     assert node.state.groups(node.clock.now()) == ()
+
+
+def test_missing_entry_that_gets_no_new_work_is_not_told_to_others(node):
+    """Derwent hunt-0bf1-27: a planner that began told all nodes of a server that had left."""
+    state, clock = node.state, node.clock
+    node.read_at = clock.now() + 60.0
+    state.fleet.outage_ended(clock.now())
+    state.fleet.remove("p0", clock.now())
+    assert "p0" in {each.instance for each in state.targets_seen().servers}
+    clock.time += 1.3
+    state.fleet.settle(clock.now())
+    assert state.fleet.get("p0") is not None
+    assert "p0" not in {each.instance for each in state.targets_seen().servers}
