--- a/briarpond/placement/_formation.py
+++ b/briarpond/placement/_formation.py
@@ -19,8 +19,8 @@
 LATE_FACTOR = 2.0
 # Spares of a domain that know a model, once there are enough of its groups.
 SPARES_PER_MODEL = 1
-# Instances of a domain that are kept as spares while the first groups are formed.
-SPARES_AT_START = 2
+# Idle instances that a domain keeps beside those that load another model.
+SPARES_KEPT = 2
 ENOUGH = 1.0
 # Beyond this, a spare for repairs is worth more than one more group.
 AMPLE = 1.3
@@ -188,7 +188,7 @@
             missing = spec.size - have[spec.name]
             nearly = 0 < 2 * missing < spec.size and len(waiting) >= spec.size
             wanted = self._roster.satisfaction(spec, demand) < ENOUGH
-            return nearly or (wanted and len(waiting) >= spec.size + SPARES_AT_START)
+            return nearly or (wanted and len(waiting) >= spec.size + SPARES_KEPT)
 
         specs = [spec for spec in self._roster.engine.models if worth_loading(spec)]
         if not specs:
