Review: which answers say that a member left, and how long that is kept

The statuses that confirm a leave stood twice as bare numbers; the two places that remember a leave (one until the list shows it, one for the group) did not say why they are two; a flag of the fleet's view had no word on its meaning.

No behaviour changes.

--- a/briarpond/fleet/_view.py
+++ b/briarpond/fleet/_view.py
@@ -39,6 +39,7 @@
         self._may_lack_entries = not first_start
         self._rows: dict[InstanceId, _Row] = {}
         self._trusted_after = 0.0
+        # Whether an entry that is missing after the last outage still gets new work.
         self._uses_missing = True
         self.left: dict[InstanceId, float] = {}
         self.version = 0
--- a/briarpond/placement/_models.py
+++ b/briarpond/placement/_models.py
@@ -56,7 +56,8 @@
     since : float
         When the group entered its stage.
     left : set
-        Members that confirmed to have left while the head was lost.
+        Members that confirmed to have left while the head was lost; kept until the
+        list shows one of them back, which a late order to join can bring about.
     opens_at : float
         From when an opened group serves.
     last_order : dict
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -31,6 +31,8 @@
 # Orders that an instance left unanswered may be carried out this much later.
 LATE_ORDER_S = 12.0
 STALL_MARGIN_S = 0.4
+# Answers to an order to leave which say that the instance is not in that group.
+LEFT_STATUSES = frozenset({200, 409})
 # Before callers come, domains are laid out once the list has not grown for so long,
 LIST_QUIET_S = 0.35
 # at the latest this long after its first entry: instances enter it one by one.
@@ -116,7 +118,8 @@
             self._note_late_open(order)
             return
         self.mark_alive(order.instance)
-        if order.kind is OrderKind.LEAVE and status in (200, 409):
+        left = order.kind is OrderKind.LEAVE and status in LEFT_STATUSES
+        if left:
             self._roster.has_left[order.instance] = (order.group, order.epoch)
         group = self.groups.get(order.group)
         if group is None or group.epoch != order.epoch:
@@ -125,7 +128,7 @@
             self._on_join_answer(group, order, status, now)
         elif order.kind is OrderKind.OPEN:
             self._on_open_answer(group, status, now)
-        elif order.kind is OrderKind.LEAVE and status in (200, 409):
+        elif left:
             group.left.add(order.instance)
         if self._ends_closing(group, order, status):
             self._release(group, now)
--- a/briarpond/placement/_roster.py
+++ b/briarpond/placement/_roster.py
@@ -29,7 +29,8 @@
     blocked_until : dict
         Instances that must not join another group before a time.
     has_left : dict
-        Membership that each instance confirmed to have ended; the list may still show it.
+        Membership that each instance confirmed to have ended; kept only while the list
+        still shows it.
     """
 
     def __init__(self, engine: EngineSpec) -> None:
