--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -1,4 +1,4 @@
-"""Processor time of the gateway's heartbeats, planning and estimates at growing sizes.
+"""Processor time of the gateway's datagrams, planning and estimates at growing sizes.
 
 python -m benchmarks.gateway
 """
@@ -9,12 +9,16 @@
 
 from briarpond.directory import (
     GroupTarget,
-    Heartbeat,
-    Plan,
+    Load,
+    Member,
+    Notice,
+    PlanLog,
+    PlanVersion,
+    Pull,
     RoutingTargets,
     ServerInFlight,
-    decode_heartbeat,
-    encode_heartbeat,
+    decode_datagram,
+    encode_datagram,
 )
 from briarpond.dispatch import RequestSize, expected_first_event_s
 from briarpond.fleet import Instance, InstanceState, Membership, MemberState
@@ -41,17 +45,26 @@
     return best * 1e6
 
 
-def planner_heartbeat(groups: int, servers: int) -> Heartbeat:
-    """Return a planner's heartbeat with a plan of `groups` and loads of `servers`."""
+OWN = Member("edge-1", 1, 1, Address("10.1.0.2", 80), "zone-a", True, False)
+
+
+def plan_notice(groups: int) -> Notice:
+    """Return a notice with a whole plan of `groups`."""
     targets = tuple(
         GroupTarget(
-            f"g12-{n}", 12_000_000 + n, "daka510000", f"i-{n:010x}", Address("10.1.0.1", 80)
+            f"g12-{n}", 12_000_000 + n, "daka510000", f"i-{n:010x}", Address("10.1.0.1", 80), "a"
         )
         for n in range(groups)
     )
+    plan_log = PlanLog()
+    plan_log.publish(12, RoutingTargets(targets, ()))
+    return Notice(OWN, delta=plan_log.delta_since(PlanVersion()))
+
+
+def pull(servers: int) -> Pull:
+    """Return a pull with the load of `servers`."""
     loads = tuple(ServerInFlight(f"i-{n:010x}", 3, 900) for n in range(servers))
-    plan = Plan(12, 99, True, RoutingTargets(targets, ()))
-    return Heartbeat("edge-1", Address("10.1.0.2", 80), "zone-a", True, False, loads, plan=plan)
+    return Pull(OWN, 1, 1, 1, PlanVersion(12, 99), 7, Load(loads))
 
 
 def instances(count: int) -> list[Instance]:
@@ -93,21 +106,11 @@
     print(f"| {operation} | {size} | {us:.1f} | {len(data) or ''} |")
 
 
-def measure_plan(groups: int) -> None:
-    """Print the cost to encode and decode a planner's heartbeat."""
-    heartbeat = planner_heartbeat(groups, 0)
-    data = encode_heartbeat(heartbeat)
-    print_row(
-        "plan encoded", f"{groups} groups", best_us(lambda: encode_heartbeat(heartbeat)), data
-    )
-    print_row("plan decoded", f"{groups} groups", best_us(lambda: decode_heartbeat(data)))
-
-
-def measure_loads(servers: int) -> None:
-    """Print the cost to decode a heartbeat with the requests in flight at each server."""
-    loads = planner_heartbeat(0, servers).servers
-    data = encode_heartbeat(Heartbeat("edge-1", Address("10.1.0.2", 80), "a", True, False, loads))
-    print_row("loads decoded", f"{servers} servers", best_us(lambda: decode_heartbeat(data)), data)
+def measure_datagram(name: str, size: str, message: Notice | Pull) -> None:
+    """Print the cost to encode and decode a message."""
+    data = encode_datagram(message)
+    print_row(f"{name} encoded", size, best_us(lambda: encode_datagram(message)), data)
+    print_row(f"{name} decoded", size, best_us(lambda: decode_datagram(data)))
 
 
 def main() -> None:
@@ -115,9 +118,9 @@
     print("| operation | size | us | bytes |")
     print("|---|---|---|---|")
     for groups in (25, 50, 100, 150):
-        measure_plan(groups)
+        measure_datagram("plan", f"{groups} groups", plan_notice(groups))
     for servers in (10, 50, 150):
-        measure_loads(servers)
+        measure_datagram("pull", f"{servers} servers", pull(servers))
     for count in (160, 320, 640, 1200):
         print_row("planning round", f"{count} instances", planning_us(count))
     typical = RequestSize(979, 154)
--- a/briarpond/directory/__init__.py
+++ b/briarpond/directory/__init__.py
@@ -1,30 +1,54 @@
-"""Heartbeats between nodes, and the directory of nodes that callers may connect to."""
+"""Exchange of state between nodes, and the directory of nodes for callers."""
 
-from ._codec import decode_datagram, decode_heartbeat, encode_confirmation, encode_heartbeat
+from ._codec import Datagram, decode_datagram, encode_datagram
+from ._members import MemberTable
 from ._models import (
-    ConfigConfirmation,
+    Answer,
+    ConfigStatus,
     GroupTarget,
-    Heartbeat,
+    Load,
+    Member,
     ModelDemand,
+    Notice,
     PlainServerTarget,
     Plan,
+    PlanDelta,
+    PlanStatus,
+    PlanVersion,
+    Pull,
     RoutingTargets,
     ServerInFlight,
 )
-from ._nodes import HeartbeatTable
+from ._plan_log import PlanLog
+from ._sync import Outgoing, PeerSync, SyncCallbacks
+from ._timing import HOUSEKEEPING_INTERVAL_S, LOAD_LIFETIME_S, PAUSE_S, RELAY_INTERVAL_S
 
 __all__ = [
-    "ConfigConfirmation",
+    "HOUSEKEEPING_INTERVAL_S",
+    "LOAD_LIFETIME_S",
+    "PAUSE_S",
+    "RELAY_INTERVAL_S",
+    "Answer",
+    "ConfigStatus",
+    "Datagram",
     "GroupTarget",
-    "Heartbeat",
-    "HeartbeatTable",
+    "Load",
+    "Member",
+    "MemberTable",
     "ModelDemand",
+    "Notice",
+    "Outgoing",
+    "PeerSync",
     "PlainServerTarget",
     "Plan",
+    "PlanDelta",
+    "PlanLog",
+    "PlanStatus",
+    "PlanVersion",
+    "Pull",
     "RoutingTargets",
     "ServerInFlight",
+    "SyncCallbacks",
     "decode_datagram",
-    "decode_heartbeat",
-    "encode_confirmation",
-    "encode_heartbeat",
+    "encode_datagram",
 ]
--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -1,4 +1,4 @@
-"""Thrift codec of the datagrams between nodes: heartbeats and their confirmations."""
+"""Thrift codec of the datagrams between nodes."""
 
 from expression import Error, Ok, Result
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
@@ -10,87 +10,253 @@
 from briarpond.routes import ModelName
 
 from ._models import (
-    ConfigConfirmation,
+    Answer,
+    ConfigStatus,
     GroupTarget,
-    Heartbeat,
+    Load,
+    Member,
     ModelDemand,
+    Notice,
     PlainServerTarget,
-    Plan,
-    RoutingTargets,
+    PlanDelta,
+    PlanStatus,
+    PlanVersion,
+    Pull,
     ServerInFlight,
 )
 from .gen.beats import ttypes
 
+Datagram = Pull | Answer | Notice
+
 # First byte of a datagram, which identifies its type; the Thrift struct follows.
-HEARTBEAT_TAG = b"B"
-CONFIRMATION_TAG = b"E"
+PULL_TAG = b"P"
+ANSWER_TAG = b"A"
+NOTICE_TAG = b"N"
+# Ages above this are sent as this; the receiver treats both as unknown.
+MAX_AGE_S = 1_000_000.0
 # Exceptions that malformed data can raise in the generated code or in the translation.
-_MALFORMED = (TException, EOFError, TypeError, ValueError, AttributeError)
-
-
-def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
-    """Return the datagram of a heartbeat."""
-    buffer = TMemoryBuffer()
-    wire = ttypes.Beat(
-        node=heartbeat.node,
-        host=heartbeat.caller_address.host,
-        port=heartbeat.caller_address.port,
-        data_centre=heartbeat.data_centre,
-        ready=heartbeat.ready,
-        leaving=heartbeat.leaving,
-        servers=[
-            ttypes.ServerRow(each.instance, each.in_flight, each.unread_tokens)
-            for each in heartbeat.servers
-        ],
-        demand=[ttypes.DemandRow(each.model, each.groups) for each in heartbeat.demand],
-        stalled=list(heartbeat.stalled),
-        plan=None if heartbeat.plan is None else _plan_to_wire(heartbeat.plan),
-        candidate=heartbeat.candidate,
-        clock_ms=heartbeat.clock_ms,
-        config_version=heartbeat.config_version,
-    )
-    wire.write(TCompactProtocolAccelerated(buffer))
-    return HEARTBEAT_TAG + buffer.getvalue()
+_MALFORMED = (
+    TException,
+    EOFError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    MemoryError,
+)
 
 
-def encode_confirmation(confirmation: ConfigConfirmation) -> bytes:
-    """Return the datagram of a confirmation (`Echo` on the wire)."""
+def encode_datagram(message: Datagram) -> bytes:
+    """Return the datagram of a message."""
+    tag, wire = _to_wire(message)
     buffer = TMemoryBuffer()
-    wire = ttypes.Echo(confirmation.clock_ms, confirmation.config_version, confirmation.age_ms)
     wire.write(TCompactProtocolAccelerated(buffer))
-    return CONFIRMATION_TAG + buffer.getvalue()
+    return tag + buffer.getvalue()
 
 
-def decode_datagram(data: bytes) -> Result[Heartbeat | ConfigConfirmation, str]:
+def decode_datagram(data: bytes) -> Result[Datagram, str]:
     """Read a datagram of another node; the error describes what cannot be read."""
-    if data[:1] == HEARTBEAT_TAG:
-        return decode_heartbeat(data)
-    if data[:1] != CONFIRMATION_TAG:
-        return Error(f"unknown message tag {data[:1]!r}")
-    wire = ttypes.Echo()
+    tag = data[:1]
+    reader = _READERS.get(tag)
+    if reader is None:
+        return Error(f"unknown message tag {tag!r}")
+    struct, translate = reader
+    wire = struct()
     try:
         wire.read(TCompactProtocolAccelerated(TMemoryBuffer(data[1:])))
-        wire.validate()
+        _validate(wire)
+        return Ok(translate(wire))
     except _MALFORMED as exc:
         return Error(repr(exc))
-    return Ok(ConfigConfirmation(wire.clock_ms, wire.config_version, wire.age_ms))
 
 
-def decode_heartbeat(data: bytes) -> Result[Heartbeat, str]:
-    """Read the datagram of a heartbeat; the error describes what cannot be read."""
-    wire = ttypes.Beat()
-    try:
-        wire.read(TCompactProtocolAccelerated(TMemoryBuffer(data[1:])))
-        wire.validate()
-        return Ok(_heartbeat_from_wire(wire))
-    except _MALFORMED as exc:
-        return Error(repr(exc))
+def _validate(wire) -> None:
+    """Check the required fields of a struct and of the structs in it."""
+    wire.validate()
+    for value in vars(wire).values():
+        for each in value if isinstance(value, list) else (value,):
+            if hasattr(each, "validate"):
+                _validate(each)
+
+
+def _to_wire(message: Datagram) -> tuple[bytes, object]:
+    match message:
+        case Pull():
+            return PULL_TAG, _pull_to_wire(message)
+        case Answer():
+            return ANSWER_TAG, _answer_to_wire(message)
+        case Notice():
+            return NOTICE_TAG, _notice_to_wire(message)
+
+
+def _pull_to_wire(pull: Pull) -> ttypes.Pull:
+    return ttypes.Pull(
+        sender=_member_to_wire(pull.sender),
+        clock_ms=pull.clock_ms,
+        table=pull.table,
+        cursor=pull.cursor,
+        plan_term=pull.plan.term,
+        plan_sequence=pull.plan.sequence,
+        config_version=pull.config_version,
+        load=_load_to_wire(pull.load),
+    )
+
+
+def _pull_from_wire(wire: ttypes.Pull) -> Pull:
+    return Pull(
+        sender=_member_from_wire(wire.sender),
+        clock_ms=wire.clock_ms,
+        table=wire.table,
+        cursor=wire.cursor,
+        plan=PlanVersion(wire.plan_term, wire.plan_sequence),
+        config_version=wire.config_version,
+        load=_load_from_wire(wire.load),
+    )
+
+
+def _answer_to_wire(answer: Answer) -> ttypes.Answer:
+    config = answer.config
+    return ttypes.Answer(
+        sender=_member_to_wire(answer.sender),
+        clock_ms=answer.clock_ms,
+        table=answer.table,
+        cursor=answer.cursor,
+        more=answer.more,
+        members=[_member_to_wire(each) for each in answer.members],
+        ages=[ttypes.DataCentreAge(name, _age_ms(age)) for name, age in answer.ages_s.items()],
+        load=None if answer.load is None else _load_to_wire(answer.load),
+        plan=None if answer.plan is None else _status_to_wire(answer.plan),
+        delta=None if answer.delta is None else _delta_to_wire(answer.delta),
+        config=(
+            None if config is None else ttypes.ConfigStatus(config.version, _age_ms(config.age_s))
+        ),
+    )
+
+
+def _answer_from_wire(wire: ttypes.Answer) -> Answer:
+    config = wire.config
+    return Answer(
+        sender=_member_from_wire(wire.sender),
+        clock_ms=wire.clock_ms,
+        table=wire.table,
+        cursor=wire.cursor,
+        more=wire.more,
+        members=tuple(_member_from_wire(each) for each in wire.members),
+        ages_s={DataCentre(each.data_centre): _age_s(each.age_ms) for each in wire.ages},
+        load=None if wire.load is None else _load_from_wire(wire.load),
+        plan=None if wire.plan is None else _status_from_wire(wire.plan),
+        delta=None if wire.delta is None else _delta_from_wire(wire.delta),
+        config=None if config is None else ConfigStatus(config.version, _age_s(config.age_ms)),
+    )
+
+
+def _notice_to_wire(notice: Notice) -> ttypes.Notice:
+    return ttypes.Notice(
+        sender=_member_to_wire(notice.sender),
+        stalled=list(notice.stalled),
+        config_version=notice.config_version,
+        plan=None if notice.plan is None else _status_to_wire(notice.plan),
+        delta=None if notice.delta is None else _delta_to_wire(notice.delta),
+        relayed=notice.relayed,
+    )
+
+
+def _notice_from_wire(wire: ttypes.Notice) -> Notice:
+    return Notice(
+        sender=_member_from_wire(wire.sender),
+        stalled=tuple(InstanceId(each) for each in wire.stalled),
+        config_version=wire.config_version,
+        plan=None if wire.plan is None else _status_from_wire(wire.plan),
+        delta=None if wire.delta is None else _delta_from_wire(wire.delta),
+        relayed=wire.relayed,
+    )
+
+
+def _age_ms(age_s: float) -> int:
+    """Return an age in milliseconds, rounded up so that it never looks younger."""
+    return -int(-min(age_s, MAX_AGE_S) * 1000 // 1)
 
 
-def _plan_to_wire(plan: Plan) -> ttypes.Plan:
-    wire = ttypes.Plan(plan.term, plan.sequence, fresh=plan.list_is_current)
-    if plan.targets is not None:
-        wire.groups = [
+def _age_s(age_ms: int) -> float:
+    if age_ms < 0:
+        raise ValueError(f"negative age {age_ms}")
+    return float("inf") if age_ms >= MAX_AGE_S * 1000 else age_ms / 1000
+
+
+def _member_to_wire(member: Member) -> ttypes.MemberRow:
+    return ttypes.MemberRow(
+        member.node,
+        member.incarnation,
+        member.revision,
+        member.caller_address.host,
+        member.caller_address.port,
+        member.data_centre,
+        member.ready,
+        member.leaving,
+        member.candidate,
+        member.gone,
+    )
+
+
+def _member_from_wire(wire: ttypes.MemberRow) -> Member:
+    return Member(
+        NodeId(wire.node),
+        wire.incarnation,
+        wire.revision,
+        Address(wire.host, wire.port),
+        DataCentre(wire.data_centre),
+        wire.ready,
+        wire.leaving,
+        wire.candidate,
+        wire.gone,
+    )
+
+
+def _load_to_wire(load: Load) -> ttypes.Load:
+    return ttypes.Load(
+        [
+            ttypes.ServerRow(each.instance, each.in_flight, each.unread_tokens)
+            for each in load.servers
+        ],
+        [ttypes.DemandRow(each.model, each.groups) for each in load.demand],
+    )
+
+
+def _load_from_wire(wire: ttypes.Load) -> Load:
+    return Load(
+        tuple(
+            ServerInFlight(InstanceId(each.instance), each.in_flight, each.unread_tokens)
+            for each in wire.servers
+        ),
+        tuple(ModelDemand(ModelName(each.model), each.groups) for each in wire.demand),
+    )
+
+
+def _status_to_wire(status: PlanStatus) -> ttypes.PlanStatus:
+    return ttypes.PlanStatus(
+        status.version.term,
+        status.version.sequence,
+        _age_ms(status.age_s),
+        _age_ms(status.list_age_s),
+        status.planner,
+    )
+
+
+def _status_from_wire(wire: ttypes.PlanStatus) -> PlanStatus:
+    return PlanStatus(
+        PlanVersion(wire.term, wire.sequence),
+        _age_s(wire.age_ms),
+        _age_s(wire.list_age_ms),
+        NodeId(wire.planner),
+    )
+
+
+def _delta_to_wire(delta: PlanDelta) -> ttypes.PlanDelta:
+    return ttypes.PlanDelta(
+        term=delta.version.term,
+        sequence=delta.version.sequence,
+        base=delta.base,
+        groups=[
             ttypes.PlanRow(
                 target.group,
                 target.epoch,
@@ -98,10 +264,11 @@
                 target.head,
                 target.address.host,
                 target.address.port,
+                target.data_centre,
             )
-            for target in plan.targets.groups
-        ]
-        wire.servers = [
+            for target in delta.groups
+        ],
+        servers=[
             ttypes.PlainRow(
                 target.instance,
                 target.service,
@@ -110,39 +277,20 @@
                 target.data_centre,
                 target.slots,
             )
-            for target in plan.targets.servers
-        ]
-    return wire
-
-
-def _heartbeat_from_wire(wire: ttypes.Beat) -> Heartbeat:
-    return Heartbeat(
-        node=NodeId(wire.node),
-        caller_address=Address(wire.host, wire.port),
-        data_centre=DataCentre(wire.data_centre),
-        ready=wire.ready,
-        leaving=wire.leaving,
-        servers=tuple(
-            ServerInFlight(InstanceId(each.instance), each.in_flight, each.unread_tokens)
-            for each in wire.servers
-        ),
-        demand=tuple(ModelDemand(ModelName(each.model), each.groups) for each in wire.demand),
-        stalled=tuple(InstanceId(each) for each in wire.stalled),
-        plan=None if wire.plan is None else _plan_from_wire(wire.plan),
-        candidate=bool(wire.candidate),
-        clock_ms=wire.clock_ms or 0,
-        config_version=wire.config_version or 0,
+            for target in delta.servers
+        ],
+        removed=list(delta.removed),
     )
 
 
-def _plan_from_wire(plan: ttypes.Plan) -> Plan:
-    targets = None
-    if plan.groups is not None:
-        targets = RoutingTargets(
-            tuple(_group_target_from_wire(wire) for wire in plan.groups),
-            tuple(_server_target_from_wire(wire) for wire in plan.servers or ()),
-        )
-    return Plan(plan.term, plan.sequence, bool(plan.fresh), targets)
+def _delta_from_wire(wire: ttypes.PlanDelta) -> PlanDelta:
+    return PlanDelta(
+        PlanVersion(wire.term, wire.sequence),
+        wire.base,
+        tuple(_group_target_from_wire(each) for each in wire.groups),
+        tuple(_server_target_from_wire(each) for each in wire.servers),
+        tuple(wire.removed),
+    )
 
 
 def _group_target_from_wire(wire: ttypes.PlanRow) -> GroupTarget:
@@ -152,6 +300,7 @@
         ModelName(wire.model),
         InstanceId(wire.head),
         Address(wire.host, wire.port),
+        DataCentre(wire.data_centre or ""),
     )
 
 
@@ -163,3 +312,10 @@
         DataCentre(wire.data_centre),
         wire.slots,
     )
+
+
+_READERS = {
+    PULL_TAG: (ttypes.Pull, _pull_from_wire),
+    ANSWER_TAG: (ttypes.Answer, _answer_from_wire),
+    NOTICE_TAG: (ttypes.Notice, _notice_from_wire),
+}
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -1,7 +1,6 @@
-"""Messages between nodes: heartbeats, with loads, demand and the plan, and their answers.
+"""Messages between nodes, and what they carry: members, loads, demand and the plan.
 
-The wire types of the same content are generated from ``beats.thrift``; there a heartbeat is
-called `Beat` and its answer `Echo`.
+The wire types of the same content are generated from ``beats.thrift``.
 """
 
 import msgspec
@@ -12,7 +11,7 @@
 
 
 class ServerInFlight(msgspec.Struct, frozen=True):
-    """Requests that the sender has in flight at one backend server.
+    """Requests that one node, or all nodes of a data centre, have in flight at a server.
 
     Attributes
     ----------
@@ -30,7 +29,7 @@
 
 
 class ModelDemand(msgspec.Struct, frozen=True):
-    """Demand for a model from the requests to the sender.
+    """Demand for a model.
 
     Attributes
     ----------
@@ -44,6 +43,21 @@
     groups: float
 
 
+class Load(msgspec.Struct, frozen=True):
+    """Requests in flight and demand, of one node or summed over several.
+
+    Attributes
+    ----------
+    servers : tuple of ServerInFlight
+        Requests in flight, by backend server.
+    demand : tuple of ModelDemand
+        Demand for models.
+    """
+
+    servers: tuple[ServerInFlight, ...] = ()
+    demand: tuple[ModelDemand, ...] = ()
+
+
 class GroupTarget(msgspec.Struct, frozen=True):
     """A group that requests may be sent to.
 
@@ -59,6 +73,8 @@
         Member that takes the requests.
     address : Address
         Address of the head.
+    data_centre : DataCentre
+        Where the head runs; empty if unknown.
     """
 
     group: GroupId
@@ -66,6 +82,7 @@
     model: ModelName
     head: InstanceId
     address: Address
+    data_centre: DataCentre = DataCentre("")
 
 
 class PlainServerTarget(msgspec.Struct, frozen=True):
@@ -99,22 +116,35 @@
     servers: tuple[PlainServerTarget, ...] = ()
 
 
+class PlanVersion(msgspec.Struct, frozen=True, order=True):
+    """Version of a plan: a later term, and within it a higher sequence, is newer.
+
+    Attributes
+    ----------
+    term : int
+        Term of the lease under which the plan was made.
+    sequence : int
+        Number of the plan within the term; it rises when the targets change.
+    """
+
+    term: int = 0
+    sequence: int = 0
+
+
 class Plan(msgspec.Struct, frozen=True):
-    """What the planner publishes: the routing targets under a number.
+    """A plan as a node puts it into force, or the confirmation of one.
 
     Attributes
     ----------
     term : int
         Term of the lease under which the plan was made.
     sequence : int
-        Number of the plan within the term; it rises when the targets change. The plan with
-        the highest term and, within it, the highest sequence is the newest.
+        Number of the plan within the term.
     list_is_current : bool
         Whether the planner's view of the instance list is recent. If not, the other nodes
-        read the list themselves. On the wire: `fresh`.
+        read the list themselves.
     targets : RoutingTargets or None
-        The targets; None if the plan of this term and sequence was sent before and stays in
-        force.
+        The targets; None if this only confirms the plan of this term and sequence.
     """
 
     term: int
@@ -123,70 +153,199 @@
     targets: RoutingTargets | None
 
 
-class Heartbeat(msgspec.Struct, frozen=True):
-    """Heartbeat of a node, with its load, its demand and, from the planner, the plan.
+class PlanDelta(msgspec.Struct, frozen=True):
+    """Changes that lead from one version of a plan to a later one of the same term.
+
+    Attributes
+    ----------
+    version : PlanVersion
+        Version that results.
+    base : int or None
+        Sequence that the changes apply to, or any later one; None if the delta is a whole
+        plan.
+    groups : tuple of GroupTarget
+        Groups that were added or changed.
+    servers : tuple of PlainServerTarget
+        Plain servers that were added or changed.
+    removed : tuple of str
+        Names of the groups and plain servers that were removed.
+    """
+
+    version: PlanVersion
+    base: int | None
+    groups: tuple[GroupTarget, ...]
+    servers: tuple[PlainServerTarget, ...]
+    removed: tuple[str, ...]
+
+
+class PlanStatus(msgspec.Struct, frozen=True):
+    """Which plan the sender has, and how old its knowledge of it is.
+
+    Attributes
+    ----------
+    version : PlanVersion
+        Version of the plan.
+    age_s : float
+        Seconds since the planner confirmed that this is its plan.
+    list_age_s : float
+        Seconds since the planner had followed the instance list without a gap.
+    planner : NodeId
+        Node that made the plan.
+    """
+
+    version: PlanVersion
+    age_s: float
+    list_age_s: float
+    planner: NodeId
+
+
+class ConfigStatus(msgspec.Struct, frozen=True):
+    """Which configuration the sender has in force.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration.
+    age_s : float
+        Seconds since it was certainly the newest.
+    """
+
+    version: int
+    age_s: float
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A node of the system, as it describes itself.
 
     Attributes
     ----------
     node : NodeId
-        Name of the sender.
+        Name of the node.
+    incarnation : int
+        Rises with each start of the node's process.
+    revision : int
+        Rises with each change of the other fields within an incarnation.
     caller_address : Address
-        Where the sender takes callers' requests. Its host also receives heartbeats.
+        Where the node takes callers' requests. Its host also receives datagrams.
     data_centre : DataCentre
-        Where the sender runs.
+        Where the node runs.
     ready : bool
-        Whether callers should connect to the sender.
+        Whether callers should connect to the node.
     leaving : bool
-        Whether the sender is about to stop.
-    servers : tuple of ServerInFlight
-        Requests that the sender has in flight, by backend server.
-    demand : tuple of ModelDemand
-        Demand for models from the requests to the sender.
-    stalled : tuple of InstanceId
-        Backend servers that the sender newly found stalled, slow or unreachable. The
-        receiver avoids them for a while; the planner probes the members of their groups.
-    plan : Plan or None
-        Set only by the planner.
+        Whether the node is about to stop.
     candidate : bool
-        Whether the sender applies for the planner's lease and reaches the store.
-    clock_ms : int
-        Time of the sender's own clock, in milliseconds, which the answer repeats; 0 if not
-        given, and then there is no answer.
-    config_version : int
-        Version of the sender's configuration in force; 0 if it has none.
+        Whether the node applies for the planner's lease and reaches the store.
+    gone : bool
+        Whether a relay no longer hears the node. Only this field is set by other nodes.
     """
 
     node: NodeId
+    incarnation: int
+    revision: int
     caller_address: Address
     data_centre: DataCentre
     ready: bool
     leaving: bool
-    servers: tuple[ServerInFlight, ...] = ()
-    demand: tuple[ModelDemand, ...] = ()
-    stalled: tuple[InstanceId, ...] = ()
-    plan: Plan | None = None
     candidate: bool = False
-    clock_ms: int = 0
-    config_version: int = 0
+    gone: bool = False
 
 
-class ConfigConfirmation(msgspec.Struct, frozen=True):
-    """Answer to a heartbeat: confirms which configuration was the newest, and when.
-
-    The receiver concludes that the configuration was the newest at `clock_ms` - `age_ms` of
-    its own clock, so that the clocks of the two nodes need not agree.
+class Pull(msgspec.Struct, frozen=True):
+    """Request for everything that has changed at the receiver since `cursor`.
 
     Attributes
     ----------
+    sender : Member
+        The node that asks.
     clock_ms : int
-        Time of the receiver's clock, repeated from its heartbeat.
+        Time of the sender's clock, which the answer repeats.
+    table : int
+        Incarnation of the receiver to which `cursor` belongs; 0 at the first pull.
+    cursor : int
+        Position in the receiver's changes up to which the sender knows them.
+    plan : PlanVersion
+        Version of the plan that the sender has.
     config_version : int
-        Version of the sender's configuration in force.
-    age_ms : int
-        Milliseconds from the time at which it was last confirmed to be the newest until that
-        heartbeat arrived.
+        Version of the sender's configuration in force; 0 if it has none.
+    load : Load
+        The sender's own requests in flight and demand.
     """
 
+    sender: Member
     clock_ms: int
+    table: int
+    cursor: int
+    plan: PlanVersion
     config_version: int
-    age_ms: int
+    load: Load
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Answer to a pull.
+
+    Attributes
+    ----------
+    sender : Member
+        The node that answers.
+    clock_ms : int
+        Repeated from the pull.
+    table, cursor : int
+        What the next pull of the same node should state.
+    more : bool
+        Whether there are more changes than fit into the answer.
+    members : tuple of Member
+        Members that have changed since the cursor of the pull.
+    ages_s : dict
+        For each data centre, the seconds since one of its relays vouched that all its
+        members that are not marked as gone are alive.
+    load : Load or None
+        Requests in flight and demand: to a node of the same data centre, those of all
+        nodes; to another, those of the sender's data centre. None from a node that is not
+        a relay.
+    plan : PlanStatus or None
+        The sender's plan; None if it has none.
+    delta : PlanDelta or None
+        Changes to the plan if that of the pull is older.
+    config : ConfigStatus or None
+        The sender's configuration; None if it has none or does not know its age.
+    """
+
+    sender: Member
+    clock_ms: int
+    table: int
+    cursor: int
+    more: bool
+    members: tuple[Member, ...]
+    ages_s: dict[DataCentre, float]
+    load: Load | None
+    plan: PlanStatus | None
+    delta: PlanDelta | None
+    config: ConfigStatus | None
+
+
+class Notice(msgspec.Struct, frozen=True):
+    """What other nodes should learn at once, without being asked.
+
+    Attributes
+    ----------
+    sender : Member
+        The node that sends or passes on the notice.
+    stalled : tuple of InstanceId
+        Backend servers that were newly found stalled, slow or unreachable. The receiver
+        avoids them for a while; the planner probes the members of their groups.
+    config_version : int
+        Version of the sender's configuration in force; 0 if it has none.
+    plan : PlanStatus or None
+        Status of the plan in `delta`.
+    delta : PlanDelta or None
+        Changes to the plan.
+    relayed : bool
+        Whether a relay has passed the notice on; it is not passed on again.
+    """
+
+    sender: Member
+    stalled: tuple[InstanceId, ...] = ()
+    config_version: int = 0
+    plan: PlanStatus | None = None
+    delta: PlanDelta | None = None
+    relayed: bool = False
--- a/briarpond/directory/beats.thrift
+++ b/briarpond/directory/beats.thrift
@@ -1,23 +1,29 @@
 /*
- * Heartbeats between nodes. Fields are only ever added, as optional.
+ * Datagrams between nodes. Fields are only ever added, as optional.
  *
  * Regenerate: thrift --gen py:no_utf8strings=false -out briarpond/directory/gen briarpond/directory/beats.thrift
  */
 namespace py beats
 
-/** Requests that the sender has in flight at one server. */
+/** Requests that nodes have in flight at one server. */
 struct ServerRow {
   1: required string instance,
   2: required i32 in_flight,
   3: required i32 unread_tokens
 }
 
-/** Groups of a model that the sender's requests would fill. */
+/** Groups of a model that callers' requests would fill. */
 struct DemandRow {
   1: required string model,
   2: required double groups
 }
 
+/** Loads and demand of the nodes of one data centre, or of one node. */
+struct Load {
+  1: required list<ServerRow> servers,
+  2: required list<DemandRow> demand
+}
+
 /** A group that serves, as the planner says. */
 struct PlanRow {
   1: required string group,
@@ -25,7 +31,8 @@
   3: required string model,
   4: required string head,
   5: required string host,
-  6: required i32 port
+  6: required i32 port,
+  7: optional string data_centre
 }
 
 /** A plain server that takes requests. */
@@ -39,38 +46,86 @@
 }
 
 /**
- * Where requests may go; `sequence` rises within a term. Without rows it only says
- * that the plan of that sequence still holds. `fresh` says that the sender follows
- * the platform's list without a gap.
+ * Changes of the plan from the sequence `base` to `sequence` within a term; without
+ * `base` the rows are the whole plan.
  */
-struct Plan {
+struct PlanDelta {
   1: required i64 term,
   2: required i64 sequence,
-  3: optional list<PlanRow> groups,
-  4: optional list<PlainRow> servers,
-  5: optional bool fresh
+  3: optional i64 base,
+  4: required list<PlanRow> groups,
+  5: required list<PlainRow> servers,
+  6: required list<string> removed
+}
+
+/** The plan that the sender has, and how long ago its planner confirmed it. */
+struct PlanStatus {
+  1: required i64 term,
+  2: required i64 sequence,
+  3: required i32 age_ms,
+  4: required i32 list_age_ms,
+  5: required string planner
+}
+
+/** Version of the configuration, and how long ago it was certainly the newest. */
+struct ConfigStatus {
+  1: required i64 version,
+  2: required i32 age_ms
 }
 
-/** Sign of life of a node. */
-struct Beat {
+/** What a node says of itself, or a relay of a node that it no longer hears (`gone`). */
+struct MemberRow {
   1: required string node,
-  2: required string host,
-  3: required i32 port,
-  4: required string data_centre,
-  5: required bool ready,
-  6: required bool leaving,
-  7: required list<ServerRow> servers,
-  8: required list<DemandRow> demand,
-  9: required list<string> stalled,
-  10: optional Plan plan,
-  11: optional bool candidate,
-  12: optional i64 clock_ms,
-  13: optional i64 config_version
+  2: required i64 incarnation,
+  3: required i64 revision,
+  4: required string host,
+  5: required i32 port,
+  6: required string data_centre,
+  7: required bool ready,
+  8: required bool leaving,
+  9: required bool candidate,
+  10: required bool gone
+}
+
+/** How long ago a relay of a data centre vouched for its nodes. */
+struct DataCentreAge {
+  1: required string data_centre,
+  2: required i32 age_ms
+}
+
+/** Request for what has changed since `cursor`; carries the sender's own state. */
+struct Pull {
+  1: required MemberRow sender,
+  2: required i64 clock_ms,
+  3: required i64 table,
+  4: required i64 cursor,
+  5: required i64 plan_term,
+  6: required i64 plan_sequence,
+  7: required i64 config_version,
+  8: required Load load
+}
+
+/** Answer to a pull; `clock_ms` is repeated from it. */
+struct Answer {
+  1: required MemberRow sender,
+  2: required i64 clock_ms,
+  3: required i64 table,
+  4: required i64 cursor,
+  5: required bool more,
+  6: required list<MemberRow> members,
+  7: required list<DataCentreAge> ages,
+  8: optional Load load,
+  9: optional PlanStatus plan,
+  10: optional PlanDelta delta,
+  11: optional ConfigStatus config
 }
 
-/** Tells one node that a configuration was the newest, by that node's own clock. */
-struct Echo {
-  1: required i64 clock_ms,
-  2: required i64 config_version,
-  3: required i64 age_ms
+/** What other nodes should learn at once. Relays pass notices of other senders on. */
+struct Notice {
+  1: required MemberRow sender,
+  2: required list<string> stalled,
+  3: required i64 config_version,
+  4: optional PlanStatus plan,
+  5: optional PlanDelta delta,
+  6: required bool relayed
 }
--- a/briarpond/directory/gen/beats/constants.py
+++ b/briarpond/directory/gen/beats/constants.py
@@ -3,12 +3,11 @@
 #
 # DO NOT EDIT UNLESS YOU ARE SURE THAT YOU KNOW WHAT YOU ARE DOING
 #
-#  options string: py
+#  options string: py:no_utf8strings=false
 #
 
 from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.TRecursive import fix_spec
 
-import sys
 from .ttypes import *
--- a/briarpond/directory/gen/beats/ttypes.py
+++ b/briarpond/directory/gen/beats/ttypes.py
@@ -3,14 +3,13 @@
 #
 # DO NOT EDIT UNLESS YOU ARE SURE THAT YOU KNOW WHAT YOU ARE DOING
 #
-#  options string: py
+#  options string: py:no_utf8strings=false
 #
 
 from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.TRecursive import fix_spec
 
-import sys
 
 from thrift.transport import TTransport
 all_structs = []
@@ -18,7 +17,7 @@
 
 class ServerRow(object):
     """
-    Requests that the sender has in flight at one server.
+    Requests that nodes have in flight at one server.
 
     Attributes:
      - instance
@@ -44,7 +43,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.instance = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -69,7 +68,7 @@
         oprot.writeStructBegin('ServerRow')
         if self.instance is not None:
             oprot.writeFieldBegin('instance', TType.STRING, 1)
-            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeString(self.instance)
             oprot.writeFieldEnd()
         if self.in_flight is not None:
             oprot.writeFieldBegin('in_flight', TType.I32, 2)
@@ -105,7 +104,7 @@
 
 class DemandRow(object):
     """
-    Groups of a model that the sender's requests would fill.
+    Groups of a model that callers' requests would fill.
 
     Attributes:
      - model
@@ -129,7 +128,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.model = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -149,7 +148,7 @@
         oprot.writeStructBegin('DemandRow')
         if self.model is not None:
             oprot.writeFieldBegin('model', TType.STRING, 1)
-            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeString(self.model)
             oprot.writeFieldEnd()
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.DOUBLE, 2)
@@ -177,6 +176,98 @@
         return not (self == other)
 
 
+class Load(object):
+    """
+    Loads and demand of the nodes of one data centre, or of one node.
+
+    Attributes:
+     - servers
+     - demand
+
+    """
+
+
+    def __init__(self, servers=None, demand=None,):
+        self.servers = servers
+        self.demand = demand
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = ServerRow()
+                        _elem5.read(iprot)
+                        self.servers.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.demand = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = DemandRow()
+                        _elem11.read(iprot)
+                        self.demand.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Load')
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.servers))
+            for iter12 in self.servers:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.demand))
+            for iter13 in self.demand:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.servers is None:
+            raise TProtocolException(message='Required field servers is unset!')
+        if self.demand is None:
+            raise TProtocolException(message='Required field demand is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PlanRow(object):
     """
     A group that serves, as the planner says.
@@ -188,17 +279,19 @@
      - head
      - host
      - port
+     - data_centre
 
     """
 
 
-    def __init__(self, group=None, epoch=None, model=None, head=None, host=None, port=None,):
+    def __init__(self, group=None, epoch=None, model=None, head=None, host=None, port=None, data_centre=None,):
         self.group = group
         self.epoch = epoch
         self.model = model
         self.head = head
         self.host = host
         self.port = port
+        self.data_centre = data_centre
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -211,7 +304,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.group = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -221,17 +314,17 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.model = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.head = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.head = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.STRING:
-                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.host = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -239,6 +332,11 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -251,7 +349,7 @@
         oprot.writeStructBegin('PlanRow')
         if self.group is not None:
             oprot.writeFieldBegin('group', TType.STRING, 1)
-            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeString(self.group)
             oprot.writeFieldEnd()
         if self.epoch is not None:
             oprot.writeFieldBegin('epoch', TType.I64, 2)
@@ -259,20 +357,24 @@
             oprot.writeFieldEnd()
         if self.model is not None:
             oprot.writeFieldBegin('model', TType.STRING, 3)
-            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeString(self.model)
             oprot.writeFieldEnd()
         if self.head is not None:
             oprot.writeFieldBegin('head', TType.STRING, 4)
-            oprot.writeString(self.head.encode('utf-8') if sys.version_info[0] == 2 else self.head)
+            oprot.writeString(self.head)
             oprot.writeFieldEnd()
         if self.host is not None:
             oprot.writeFieldBegin('host', TType.STRING, 5)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeString(self.host)
             oprot.writeFieldEnd()
         if self.port is not None:
             oprot.writeFieldBegin('port', TType.I32, 6)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 7)
+            oprot.writeString(self.data_centre)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -337,17 +439,17 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.instance = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.service_name = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.host = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -357,7 +459,7 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.STRING:
-                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.data_centre = iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -377,15 +479,15 @@
         oprot.writeStructBegin('PlainRow')
         if self.instance is not None:
             oprot.writeFieldBegin('instance', TType.STRING, 1)
-            oprot.writeString(self.instance.encode('utf-8') if sys.version_info[0] == 2 else self.instance)
+            oprot.writeString(self.instance)
             oprot.writeFieldEnd()
         if self.service_name is not None:
             oprot.writeFieldBegin('service_name', TType.STRING, 2)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeString(self.service_name)
             oprot.writeFieldEnd()
         if self.host is not None:
             oprot.writeFieldBegin('host', TType.STRING, 3)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeString(self.host)
             oprot.writeFieldEnd()
         if self.port is not None:
             oprot.writeFieldBegin('port', TType.I32, 4)
@@ -393,7 +495,7 @@
             oprot.writeFieldEnd()
         if self.data_centre is not None:
             oprot.writeFieldBegin('data_centre', TType.STRING, 5)
-            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeString(self.data_centre)
             oprot.writeFieldEnd()
         if self.slots is not None:
             oprot.writeFieldBegin('slots', TType.I32, 6)
@@ -429,28 +531,29 @@
         return not (self == other)
 
 
-class Plan(object):
+class PlanDelta(object):
     """
-    Where requests may go; `sequence` rises within a term. Without rows it only says
-    that the plan of that sequence still holds. `fresh` says that the sender follows
-    the platform's list without a gap.
+    Changes of the plan from the sequence `base` to `sequence` within a term; without
+    `base` the rows are the whole plan.
 
     Attributes:
      - term
      - sequence
+     - base
      - groups
      - servers
-     - fresh
+     - removed
 
     """
 
 
-    def __init__(self, term=None, sequence=None, groups=None, servers=None, fresh=None,):
+    def __init__(self, term=None, sequence=None, base=None, groups=None, servers=None, removed=None,):
         self.term = term
         self.sequence = sequence
+        self.base = base
         self.groups = groups
         self.servers = servers
-        self.fresh = fresh
+        self.removed = removed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -472,30 +575,40 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = PlanRow()
-                        _elem5.read(iprot)
-                        self.groups.append(_elem5)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = PlanRow()
+                        _elem19.read(iprot)
+                        self.groups.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 5:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = PlainRow()
-                        _elem11.read(iprot)
-                        self.servers.append(_elem11)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = PlainRow()
+                        _elem25.read(iprot)
+                        self.servers.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.fresh = iprot.readBool()
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.removed = []
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = iprot.readString()
+                        self.removed.append(_elem31)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -507,7 +620,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Plan')
+        oprot.writeStructBegin('PlanDelta')
         if self.term is not None:
             oprot.writeFieldBegin('term', TType.I64, 1)
             oprot.writeI64(self.term)
@@ -516,23 +629,30 @@
             oprot.writeFieldBegin('sequence', TType.I64, 2)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 3)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
         if self.groups is not None:
-            oprot.writeFieldBegin('groups', TType.LIST, 3)
+            oprot.writeFieldBegin('groups', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter12 in self.groups:
-                iter12.write(oprot)
+            for iter32 in self.groups:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.servers is not None:
-            oprot.writeFieldBegin('servers', TType.LIST, 4)
+            oprot.writeFieldBegin('servers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter13 in self.servers:
-                iter13.write(oprot)
+            for iter33 in self.servers:
+                iter33.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.fresh is not None:
-            oprot.writeFieldBegin('fresh', TType.BOOL, 5)
-            oprot.writeBool(self.fresh)
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.removed))
+            for iter34 in self.removed:
+                oprot.writeString(iter34)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -542,6 +662,12 @@
             raise TProtocolException(message='Required field term is unset!')
         if self.sequence is None:
             raise TProtocolException(message='Required field sequence is unset!')
+        if self.groups is None:
+            raise TProtocolException(message='Required field groups is unset!')
+        if self.servers is None:
+            raise TProtocolException(message='Required field servers is unset!')
+        if self.removed is None:
+            raise TProtocolException(message='Required field removed is unset!')
         return
 
     def __repr__(self):
@@ -556,42 +682,26 @@
         return not (self == other)
 
 
-class Beat(object):
+class PlanStatus(object):
     """
-    Sign of life of a node.
+    The plan that the sender has, and how long ago its planner confirmed it.
 
     Attributes:
-     - node
-     - host
-     - port
-     - data_centre
-     - ready
-     - leaving
-     - servers
-     - demand
-     - stalled
-     - plan
-     - candidate
-     - clock_ms
-     - config_version
+     - term
+     - sequence
+     - age_ms
+     - list_age_ms
+     - planner
 
     """
 
 
-    def __init__(self, node=None, host=None, port=None, data_centre=None, ready=None, leaving=None, servers=None, demand=None, stalled=None, plan=None, candidate=None, clock_ms=None, config_version=None,):
-        self.node = node
-        self.host = host
-        self.port = port
-        self.data_centre = data_centre
-        self.ready = ready
-        self.leaving = leaving
-        self.servers = servers
-        self.demand = demand
-        self.stalled = stalled
-        self.plan = plan
-        self.candidate = candidate
-        self.clock_ms = clock_ms
-        self.config_version = config_version
+    def __init__(self, term=None, sequence=None, age_ms=None, list_age_ms=None, planner=None,):
+        self.term = term
+        self.sequence = sequence
+        self.age_ms = age_ms
+        self.list_age_ms = list_age_ms
+        self.planner = planner
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -603,86 +713,28 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I32:
-                    self.port = iprot.readI32()
+                    self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.list_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.ready = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.BOOL:
-                    self.leaving = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.LIST:
-                    self.servers = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = ServerRow()
-                        _elem19.read(iprot)
-                        self.servers.append(_elem19)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.LIST:
-                    self.demand = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = DemandRow()
-                        _elem25.read(iprot)
-                        self.demand.append(_elem25)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.LIST:
-                    self.stalled = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.stalled.append(_elem31)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.STRUCT:
-                    self.plan = Plan()
-                    self.plan.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 11:
-                if ftype == TType.BOOL:
-                    self.candidate = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 12:
-                if ftype == TType.I64:
-                    self.clock_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.I64:
-                    self.config_version = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.planner = iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -694,90 +746,521 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Beat')
-        if self.node is not None:
-            oprot.writeFieldBegin('node', TType.STRING, 1)
-            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
-            oprot.writeFieldEnd()
-        if self.host is not None:
-            oprot.writeFieldBegin('host', TType.STRING, 2)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
-            oprot.writeFieldEnd()
-        if self.port is not None:
-            oprot.writeFieldBegin('port', TType.I32, 3)
-            oprot.writeI32(self.port)
-            oprot.writeFieldEnd()
-        if self.data_centre is not None:
-            oprot.writeFieldBegin('data_centre', TType.STRING, 4)
-            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
-            oprot.writeFieldEnd()
-        if self.ready is not None:
-            oprot.writeFieldBegin('ready', TType.BOOL, 5)
-            oprot.writeBool(self.ready)
-            oprot.writeFieldEnd()
-        if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
-            oprot.writeBool(self.leaving)
-            oprot.writeFieldEnd()
-        if self.servers is not None:
-            oprot.writeFieldBegin('servers', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter32 in self.servers:
-                iter32.write(oprot)
-            oprot.writeListEnd()
+        oprot.writeStructBegin('PlanStatus')
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 1)
+            oprot.writeI64(self.term)
             oprot.writeFieldEnd()
-        if self.demand is not None:
-            oprot.writeFieldBegin('demand', TType.LIST, 8)
-            oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter33 in self.demand:
-                iter33.write(oprot)
-            oprot.writeListEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
-        if self.stalled is not None:
-            oprot.writeFieldBegin('stalled', TType.LIST, 9)
-            oprot.writeListBegin(TType.STRING, len(self.stalled))
-            for iter34 in self.stalled:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
-            oprot.writeListEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
-        if self.plan is not None:
-            oprot.writeFieldBegin('plan', TType.STRUCT, 10)
-            self.plan.write(oprot)
+        if self.list_age_ms is not None:
+            oprot.writeFieldBegin('list_age_ms', TType.I32, 4)
+            oprot.writeI32(self.list_age_ms)
             oprot.writeFieldEnd()
-        if self.candidate is not None:
-            oprot.writeFieldBegin('candidate', TType.BOOL, 11)
-            oprot.writeBool(self.candidate)
+        if self.planner is not None:
+            oprot.writeFieldBegin('planner', TType.STRING, 5)
+            oprot.writeString(self.planner)
             oprot.writeFieldEnd()
-        if self.clock_ms is not None:
-            oprot.writeFieldBegin('clock_ms', TType.I64, 12)
-            oprot.writeI64(self.clock_ms)
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.list_age_ms is None:
+            raise TProtocolException(message='Required field list_age_ms is unset!')
+        if self.planner is None:
+            raise TProtocolException(message='Required field planner is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigStatus(object):
+    """
+    Version of the configuration, and how long ago it was certainly the newest.
+
+    Attributes:
+     - version
+     - age_ms
+
+    """
+
+
+    def __init__(self, version=None, age_ms=None,):
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigStatus')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemberRow(object):
+    """
+    What a node says of itself, or a relay of a node that it no longer hears (`gone`).
+
+    Attributes:
+     - node
+     - incarnation
+     - revision
+     - host
+     - port
+     - data_centre
+     - ready
+     - leaving
+     - candidate
+     - gone
+
+    """
+
+
+    def __init__(self, node=None, incarnation=None, revision=None, host=None, port=None, data_centre=None, ready=None, leaving=None, candidate=None, gone=None,):
+        self.node = node
+        self.incarnation = incarnation
+        self.revision = revision
+        self.host = host
+        self.port = port
+        self.data_centre = data_centre
+        self.ready = ready
+        self.leaving = leaving
+        self.candidate = candidate
+        self.gone = gone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.candidate = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberRow')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 4)
+            oprot.writeString(self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 5)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 6)
+            oprot.writeString(self.data_centre)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 7)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 8)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.candidate is not None:
+            oprot.writeFieldBegin('candidate', TType.BOOL, 9)
+            oprot.writeBool(self.candidate)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 10)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node is None:
+            raise TProtocolException(message='Required field node is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.port is None:
+            raise TProtocolException(message='Required field port is unset!')
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
+        if self.ready is None:
+            raise TProtocolException(message='Required field ready is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        if self.candidate is None:
+            raise TProtocolException(message='Required field candidate is unset!')
+        if self.gone is None:
+            raise TProtocolException(message='Required field gone is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DataCentreAge(object):
+    """
+    How long ago a relay of a data centre vouched for its nodes.
+
+    Attributes:
+     - data_centre
+     - age_ms
+
+    """
+
+
+    def __init__(self, data_centre=None, age_ms=None,):
+        self.data_centre = data_centre
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DataCentreAge')
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 1)
+            oprot.writeString(self.data_centre)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Pull(object):
+    """
+    Request for what has changed since `cursor`; carries the sender's own state.
+
+    Attributes:
+     - sender
+     - clock_ms
+     - table
+     - cursor
+     - plan_term
+     - plan_sequence
+     - config_version
+     - load
+
+    """
+
+
+    def __init__(self, sender=None, clock_ms=None, table=None, cursor=None, plan_term=None, plan_sequence=None, config_version=None, load=None,):
+        self.sender = sender
+        self.clock_ms = clock_ms
+        self.table = table
+        self.cursor = cursor
+        self.plan_term = plan_term
+        self.plan_sequence = plan_sequence
+        self.config_version = config_version
+        self.load = load
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = MemberRow()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.table = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.cursor = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.plan_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.plan_sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.load = Load()
+                    self.load.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Pull')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 2)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.I64, 3)
+            oprot.writeI64(self.table)
+            oprot.writeFieldEnd()
+        if self.cursor is not None:
+            oprot.writeFieldBegin('cursor', TType.I64, 4)
+            oprot.writeI64(self.cursor)
+            oprot.writeFieldEnd()
+        if self.plan_term is not None:
+            oprot.writeFieldBegin('plan_term', TType.I64, 5)
+            oprot.writeI64(self.plan_term)
+            oprot.writeFieldEnd()
+        if self.plan_sequence is not None:
+            oprot.writeFieldBegin('plan_sequence', TType.I64, 6)
+            oprot.writeI64(self.plan_sequence)
             oprot.writeFieldEnd()
         if self.config_version is not None:
-            oprot.writeFieldBegin('config_version', TType.I64, 13)
+            oprot.writeFieldBegin('config_version', TType.I64, 7)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.STRUCT, 8)
+            self.load.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.node is None:
-            raise TProtocolException(message='Required field node is unset!')
-        if self.host is None:
-            raise TProtocolException(message='Required field host is unset!')
-        if self.port is None:
-            raise TProtocolException(message='Required field port is unset!')
-        if self.data_centre is None:
-            raise TProtocolException(message='Required field data_centre is unset!')
-        if self.ready is None:
-            raise TProtocolException(message='Required field ready is unset!')
-        if self.leaving is None:
-            raise TProtocolException(message='Required field leaving is unset!')
-        if self.servers is None:
-            raise TProtocolException(message='Required field servers is unset!')
-        if self.demand is None:
-            raise TProtocolException(message='Required field demand is unset!')
-        if self.stalled is None:
-            raise TProtocolException(message='Required field stalled is unset!')
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.clock_ms is None:
+            raise TProtocolException(message='Required field clock_ms is unset!')
+        if self.table is None:
+            raise TProtocolException(message='Required field table is unset!')
+        if self.cursor is None:
+            raise TProtocolException(message='Required field cursor is unset!')
+        if self.plan_term is None:
+            raise TProtocolException(message='Required field plan_term is unset!')
+        if self.plan_sequence is None:
+            raise TProtocolException(message='Required field plan_sequence is unset!')
+        if self.config_version is None:
+            raise TProtocolException(message='Required field config_version is unset!')
+        if self.load is None:
+            raise TProtocolException(message='Required field load is unset!')
         return
 
     def __repr__(self):
@@ -792,22 +1275,38 @@
         return not (self == other)
 
 
-class Echo(object):
+class Answer(object):
     """
-    Tells one node that a configuration was the newest, by that node's own clock.
+    Answer to a pull; `clock_ms` is repeated from it.
 
     Attributes:
+     - sender
      - clock_ms
-     - config_version
-     - age_ms
+     - table
+     - cursor
+     - more
+     - members
+     - ages
+     - load
+     - plan
+     - delta
+     - config
 
     """
 
 
-    def __init__(self, clock_ms=None, config_version=None, age_ms=None,):
+    def __init__(self, sender=None, clock_ms=None, table=None, cursor=None, more=None, members=None, ages=None, load=None, plan=None, delta=None, config=None,):
+        self.sender = sender
         self.clock_ms = clock_ms
-        self.config_version = config_version
-        self.age_ms = age_ms
+        self.table = table
+        self.cursor = cursor
+        self.more = more
+        self.members = members
+        self.ages = ages
+        self.load = load
+        self.plan = plan
+        self.delta = delta
+        self.config = config
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -819,18 +1318,75 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.clock_ms = iprot.readI64()
+                if ftype == TType.STRUCT:
+                    self.sender = MemberRow()
+                    self.sender.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.config_version = iprot.readI64()
+                    self.clock_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
-                    self.age_ms = iprot.readI64()
+                    self.table = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.cursor = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.more = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = MemberRow()
+                        _elem40.read(iprot)
+                        self.members.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.ages = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = DataCentreAge()
+                        _elem46.read(iprot)
+                        self.ages.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.load = Load()
+                    self.load.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.plan = PlanStatus()
+                    self.plan.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.delta = PlanDelta()
+                    self.delta.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.config = ConfigStatus()
+                    self.config.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -842,29 +1398,208 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Echo')
+        oprot.writeStructBegin('Answer')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
         if self.clock_ms is not None:
-            oprot.writeFieldBegin('clock_ms', TType.I64, 1)
+            oprot.writeFieldBegin('clock_ms', TType.I64, 2)
             oprot.writeI64(self.clock_ms)
             oprot.writeFieldEnd()
-        if self.config_version is not None:
-            oprot.writeFieldBegin('config_version', TType.I64, 2)
-            oprot.writeI64(self.config_version)
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.I64, 3)
+            oprot.writeI64(self.table)
             oprot.writeFieldEnd()
-        if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I64, 3)
-            oprot.writeI64(self.age_ms)
+        if self.cursor is not None:
+            oprot.writeFieldBegin('cursor', TType.I64, 4)
+            oprot.writeI64(self.cursor)
+            oprot.writeFieldEnd()
+        if self.more is not None:
+            oprot.writeFieldBegin('more', TType.BOOL, 5)
+            oprot.writeBool(self.more)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter47 in self.members:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ages is not None:
+            oprot.writeFieldBegin('ages', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.ages))
+            for iter48 in self.ages:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.STRUCT, 8)
+            self.load.write(oprot)
+            oprot.writeFieldEnd()
+        if self.plan is not None:
+            oprot.writeFieldBegin('plan', TType.STRUCT, 9)
+            self.plan.write(oprot)
+            oprot.writeFieldEnd()
+        if self.delta is not None:
+            oprot.writeFieldBegin('delta', TType.STRUCT, 10)
+            self.delta.write(oprot)
+            oprot.writeFieldEnd()
+        if self.config is not None:
+            oprot.writeFieldBegin('config', TType.STRUCT, 11)
+            self.config.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
         if self.clock_ms is None:
             raise TProtocolException(message='Required field clock_ms is unset!')
+        if self.table is None:
+            raise TProtocolException(message='Required field table is unset!')
+        if self.cursor is None:
+            raise TProtocolException(message='Required field cursor is unset!')
+        if self.more is None:
+            raise TProtocolException(message='Required field more is unset!')
+        if self.members is None:
+            raise TProtocolException(message='Required field members is unset!')
+        if self.ages is None:
+            raise TProtocolException(message='Required field ages is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Notice(object):
+    """
+    What other nodes should learn at once. Relays pass notices of other senders on.
+
+    Attributes:
+     - sender
+     - stalled
+     - config_version
+     - plan
+     - delta
+     - relayed
+
+    """
+
+
+    def __init__(self, sender=None, stalled=None, config_version=None, plan=None, delta=None, relayed=None,):
+        self.sender = sender
+        self.stalled = stalled
+        self.config_version = config_version
+        self.plan = plan
+        self.delta = delta
+        self.relayed = relayed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = MemberRow()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.stalled = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString()
+                        self.stalled.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.plan = PlanStatus()
+                    self.plan.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.delta = PlanDelta()
+                    self.delta.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.relayed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Notice')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stalled is not None:
+            oprot.writeFieldBegin('stalled', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.stalled))
+            for iter55 in self.stalled:
+                oprot.writeString(iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 3)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.plan is not None:
+            oprot.writeFieldBegin('plan', TType.STRUCT, 4)
+            self.plan.write(oprot)
+            oprot.writeFieldEnd()
+        if self.delta is not None:
+            oprot.writeFieldBegin('delta', TType.STRUCT, 5)
+            self.delta.write(oprot)
+            oprot.writeFieldEnd()
+        if self.relayed is not None:
+            oprot.writeFieldBegin('relayed', TType.BOOL, 6)
+            oprot.writeBool(self.relayed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.stalled is None:
+            raise TProtocolException(message='Required field stalled is unset!')
         if self.config_version is None:
             raise TProtocolException(message='Required field config_version is unset!')
-        if self.age_ms is None:
-            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.relayed is None:
+            raise TProtocolException(message='Required field relayed is unset!')
         return
 
     def __repr__(self):
@@ -880,68 +1615,124 @@
 all_structs.append(ServerRow)
 ServerRow.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'instance', None, None, ),  # 1
     (2, TType.I32, 'in_flight', None, None, ),  # 2
     (3, TType.I32, 'unread_tokens', None, None, ),  # 3
 )
 all_structs.append(DemandRow)
 DemandRow.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'model', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'model', None, None, ),  # 1
     (2, TType.DOUBLE, 'groups', None, None, ),  # 2
 )
+all_structs.append(Load)
+Load.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'servers', (TType.STRUCT, [ServerRow, None], False), None, ),  # 1
+    (2, TType.LIST, 'demand', (TType.STRUCT, [DemandRow, None], False), None, ),  # 2
+)
 all_structs.append(PlanRow)
 PlanRow.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'group', None, None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
-    (3, TType.STRING, 'model', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'head', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'host', 'UTF8', None, ),  # 5
+    (3, TType.STRING, 'model', None, None, ),  # 3
+    (4, TType.STRING, 'head', None, None, ),  # 4
+    (5, TType.STRING, 'host', None, None, ),  # 5
     (6, TType.I32, 'port', None, None, ),  # 6
+    (7, TType.STRING, 'data_centre', None, None, ),  # 7
 )
 all_structs.append(PlainRow)
 PlainRow.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (1, TType.STRING, 'instance', None, None, ),  # 1
+    (2, TType.STRING, 'service_name', None, None, ),  # 2
+    (3, TType.STRING, 'host', None, None, ),  # 3
     (4, TType.I32, 'port', None, None, ),  # 4
-    (5, TType.STRING, 'data_centre', 'UTF8', None, ),  # 5
+    (5, TType.STRING, 'data_centre', None, None, ),  # 5
     (6, TType.I32, 'slots', None, None, ),  # 6
 )
-all_structs.append(Plan)
-Plan.thrift_spec = (
+all_structs.append(PlanDelta)
+PlanDelta.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.I64, 'base', None, None, ),  # 3
+    (4, TType.LIST, 'groups', (TType.STRUCT, [PlanRow, None], False), None, ),  # 4
+    (5, TType.LIST, 'servers', (TType.STRUCT, [PlainRow, None], False), None, ),  # 5
+    (6, TType.LIST, 'removed', (TType.STRING, None, False), None, ),  # 6
+)
+all_structs.append(PlanStatus)
+PlanStatus.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.I64, 'sequence', None, None, ),  # 2
-    (3, TType.LIST, 'groups', (TType.STRUCT, [PlanRow, None], False), None, ),  # 3
-    (4, TType.LIST, 'servers', (TType.STRUCT, [PlainRow, None], False), None, ),  # 4
-    (5, TType.BOOL, 'fresh', None, None, ),  # 5
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I32, 'list_age_ms', None, None, ),  # 4
+    (5, TType.STRING, 'planner', None, None, ),  # 5
+)
+all_structs.append(ConfigStatus)
+ConfigStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(MemberRow)
+MemberRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node', None, None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRING, 'host', None, None, ),  # 4
+    (5, TType.I32, 'port', None, None, ),  # 5
+    (6, TType.STRING, 'data_centre', None, None, ),  # 6
+    (7, TType.BOOL, 'ready', None, None, ),  # 7
+    (8, TType.BOOL, 'leaving', None, None, ),  # 8
+    (9, TType.BOOL, 'candidate', None, None, ),  # 9
+    (10, TType.BOOL, 'gone', None, None, ),  # 10
+)
+all_structs.append(DataCentreAge)
+DataCentreAge.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'data_centre', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(Pull)
+Pull.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [MemberRow, None], None, ),  # 1
+    (2, TType.I64, 'clock_ms', None, None, ),  # 2
+    (3, TType.I64, 'table', None, None, ),  # 3
+    (4, TType.I64, 'cursor', None, None, ),  # 4
+    (5, TType.I64, 'plan_term', None, None, ),  # 5
+    (6, TType.I64, 'plan_sequence', None, None, ),  # 6
+    (7, TType.I64, 'config_version', None, None, ),  # 7
+    (8, TType.STRUCT, 'load', [Load, None], None, ),  # 8
 )
-all_structs.append(Beat)
-Beat.thrift_spec = (
+all_structs.append(Answer)
+Answer.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'port', None, None, ),  # 3
-    (4, TType.STRING, 'data_centre', 'UTF8', None, ),  # 4
-    (5, TType.BOOL, 'ready', None, None, ),  # 5
-    (6, TType.BOOL, 'leaving', None, None, ),  # 6
-    (7, TType.LIST, 'servers', (TType.STRUCT, [ServerRow, None], False), None, ),  # 7
-    (8, TType.LIST, 'demand', (TType.STRUCT, [DemandRow, None], False), None, ),  # 8
-    (9, TType.LIST, 'stalled', (TType.STRING, 'UTF8', False), None, ),  # 9
-    (10, TType.STRUCT, 'plan', [Plan, None], None, ),  # 10
-    (11, TType.BOOL, 'candidate', None, None, ),  # 11
-    (12, TType.I64, 'clock_ms', None, None, ),  # 12
-    (13, TType.I64, 'config_version', None, None, ),  # 13
+    (1, TType.STRUCT, 'sender', [MemberRow, None], None, ),  # 1
+    (2, TType.I64, 'clock_ms', None, None, ),  # 2
+    (3, TType.I64, 'table', None, None, ),  # 3
+    (4, TType.I64, 'cursor', None, None, ),  # 4
+    (5, TType.BOOL, 'more', None, None, ),  # 5
+    (6, TType.LIST, 'members', (TType.STRUCT, [MemberRow, None], False), None, ),  # 6
+    (7, TType.LIST, 'ages', (TType.STRUCT, [DataCentreAge, None], False), None, ),  # 7
+    (8, TType.STRUCT, 'load', [Load, None], None, ),  # 8
+    (9, TType.STRUCT, 'plan', [PlanStatus, None], None, ),  # 9
+    (10, TType.STRUCT, 'delta', [PlanDelta, None], None, ),  # 10
+    (11, TType.STRUCT, 'config', [ConfigStatus, None], None, ),  # 11
 )
-all_structs.append(Echo)
-Echo.thrift_spec = (
+all_structs.append(Notice)
+Notice.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'clock_ms', None, None, ),  # 1
-    (2, TType.I64, 'config_version', None, None, ),  # 2
-    (3, TType.I64, 'age_ms', None, None, ),  # 3
+    (1, TType.STRUCT, 'sender', [MemberRow, None], None, ),  # 1
+    (2, TType.LIST, 'stalled', (TType.STRING, None, False), None, ),  # 2
+    (3, TType.I64, 'config_version', None, None, ),  # 3
+    (4, TType.STRUCT, 'plan', [PlanStatus, None], None, ),  # 4
+    (5, TType.STRUCT, 'delta', [PlanDelta, None], None, ),  # 5
+    (6, TType.BOOL, 'relayed', None, None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/briarpond/dispatch/_load.py
+++ b/briarpond/dispatch/_load.py
@@ -1,17 +1,14 @@
 """Load of backend servers: requests in flight from this node and from the other nodes.
 
-The requests of this node are counted exactly; those of the other nodes come with their
-heartbeats.
+The requests of this node are counted exactly; those of the other nodes are reported by them
+or, summed up, by relays.
 """
 
 from collections.abc import Iterable
 
 import msgspec
 
-from briarpond.ids import InstanceId, NodeId
-
-# Seconds after which the load from another node's heartbeat is no longer counted.
-PEER_LOAD_TTL_S = 1.5
+from briarpond.ids import InstanceId
 
 
 class InFlightLoad(msgspec.Struct):
@@ -36,15 +33,14 @@
     ----------
     own : InFlightLoad
         Load from this node.
-    peer_loads : dict
-        Load from each other node: requests in flight, unread prompt tokens, and the
-        monotonic time of the heartbeat that reported them.
+    peers : InFlightLoad
+        Load from all other nodes together.
     full_until : float
         Monotonic time until which the server counts as full.
     """
 
     own: InFlightLoad = msgspec.field(default_factory=InFlightLoad)
-    peer_loads: dict[NodeId, tuple[int, int, float]] = {}
+    peers: InFlightLoad = msgspec.field(default_factory=InFlightLoad)
     full_until: float = 0.0
 
 
@@ -53,6 +49,7 @@
 
     def __init__(self) -> None:
         self._servers: dict[InstanceId, _ServerState] = {}
+        self._reported: dict[str, list[tuple[InstanceId, int, int]]] = {}
 
     def record_sent(self, server: InstanceId, tokens: int) -> None:
         """Count a request that this node sends.
@@ -87,39 +84,39 @@
         state = self._servers.get(server)
         return state is not None and now < state.full_until
 
-    def set_peer_load(
-        self, node: NodeId, rows: Iterable[tuple[InstanceId, int, int]], now: float
-    ) -> None:
-        """Replace the load that another node reports.
+    def set_peer_load(self, source: str, rows: Iterable[tuple[InstanceId, int, int]]) -> None:
+        """Replace the load that a source reports: another node, or a sum over several.
 
         Parameters
         ----------
-        node : NodeId
-            The other node.
+        source : str
+            Name of the source.
         rows : iterable of tuple
             Server, requests in flight and unread prompt tokens. Servers that are left out
-            no longer have load from that node.
-        now : float
-            Monotonic time in seconds, from which the load counts for `PEER_LOAD_TTL_S`.
+            have no load from that source.
         """
-        reported = {server: (count, tokens) for server, count, tokens in rows}
-        for server, state in self._servers.items():
-            if server not in reported:
-                state.peer_loads.pop(node, None)
-        for server, (count, tokens) in reported.items():
-            self._server(server).peer_loads[node] = (count, tokens, now)
-
-    def total_load(self, server: InstanceId, now: float) -> InFlightLoad:
+        for server, count, tokens in self._reported.pop(source, ()):
+            self._add_peer_load(server, -count, -tokens)
+        new_rows = list(rows)
+        for server, count, tokens in new_rows:
+            self._add_peer_load(server, count, tokens)
+        if new_rows:
+            self._reported[source] = new_rows
+
+    def _add_peer_load(self, server: InstanceId, count: int, tokens: int) -> None:
+        peers = self._server(server).peers
+        peers.in_flight += count
+        peers.unread_tokens += tokens
+
+    def total_load(self, server: InstanceId) -> InFlightLoad:
         """Return the load of a server from all nodes."""
         state = self._servers.get(server)
         if state is None:
             return InFlightLoad()
-        total = InFlightLoad(state.own.in_flight, state.own.unread_tokens)
-        for count, tokens, reported_at in state.peer_loads.values():
-            if now - reported_at <= PEER_LOAD_TTL_S:
-                total.in_flight += count
-                total.unread_tokens += tokens
-        return total
+        own, peers = state.own, state.peers
+        return InFlightLoad(
+            own.in_flight + peers.in_flight, own.unread_tokens + peers.unread_tokens
+        )
 
     def own_load_rows(self) -> list[tuple[InstanceId, int, int]]:
         """Return the load from this node for its heartbeat.
@@ -134,9 +131,9 @@
         ]
 
     def prune(self, listed: set[InstanceId]) -> None:
-        """Drop servers that are not in `listed` and have no request of this node in flight."""
-        for server in list(self._servers):
-            if server not in listed and not self._servers[server].own.in_flight:
+        """Drop servers that are not in `listed` and have no request in flight."""
+        for server, state in list(self._servers.items()):
+            if server not in listed and not state.own.in_flight and not state.peers.in_flight:
                 del self._servers[server]
 
     def _server(self, server: InstanceId) -> _ServerState:
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -1,10 +1,16 @@
 """One node on the users' platform: connects its parts, schedules them and stops them."""
 
-import math
+import time
 from collections.abc import Callable, Sequence
 
-from briarpond.directory import ConfigConfirmation, Heartbeat, ServerInFlight
-from briarpond.ids import InstanceId
+from briarpond.directory import (
+    ConfigStatus,
+    Member,
+    Plan,
+    PlanStatus,
+    SyncCallbacks,
+)
+from briarpond.ids import InstanceId, NodeId
 from briarpond.logs import log_event, log_warning
 from briarpond.net import (
     Address,
@@ -33,7 +39,7 @@
 
 from ._ingress import Ingress
 from ._lease import MAX_CANDIDATES, PlannerLease
-from ._peers import HeartbeatLink
+from ._peers import PeerLink
 from ._planner_link import PlannerRunner
 from ._registry import NodeRegistry
 from ._state import NodeState
@@ -55,7 +61,7 @@
 TAKE_OVER_READ_WAIT_S = 0.05
 # The same on the planner. A record at the end of a wait confirms only the time at which the
 # read was sent, and the next wait must end before the planner's list counts as old
-# (`LIST_MAX_AGE_S`).
+# (`plan_lifetime_s`).
 PLANNER_READ_WAIT_S = 0.5
 # While a feed is wanted, failed reads are repeated within this time. If the last failure is
 # longer ago, the feed was not followed in between and the outage may have ended long before.
@@ -66,6 +72,11 @@
 MISSING_CHECK_INTERVAL_S = 0.2
 # How often a stopping node checks whether it is done.
 STOP_CHECK_INTERVAL_S = 0.05
+# How long a node that has just started waits for a plan from its peers before it reads the
+# instance list itself: this long for each node that it knows, so that a restart of many nodes
+# does not make all of them read the list.
+PLAN_WAIT_PER_NODE_S = 0.02
+MAX_PLAN_WAIT_S = 1.5
 # Share of `bounds.revoke_within_s` up to which the configuration may be old on a ready node. It is
 # less than KEYS_MAX_AGE_SHARE, so that callers are sent elsewhere before keys are refused.
 READY_MAX_AGE_SHARE = 0.6
@@ -118,6 +129,7 @@
         self._clock = clock
         self._on_stopped = on_stopped
         self._stop_began_at: float | None = None
+        self._started_at = clock.now()
         self._confirmed_at = float("-inf")
         self._newest_config_version = 0
         self._store = StoreClient(settings.store.address, client)
@@ -135,29 +147,29 @@
         )
         self.state.list_known_until = lambda: self._instances_feed.known_until
         peer_address = Address(settings.host, settings.peer_port)
-        self._heartbeat_link = HeartbeatLink(
+        self._peers = PeerLink(
+            clock, poller, peer_address, self._own_member(), self._callbacks(), self._describe
+        )
+        clock += self._peers
+        sync = self._peers.sync
+        self._registry = NodeRegistry(
+            self._store,
             clock,
-            poller,
-            peer_address,
-            settings.node,
-            self._make_heartbeat,
-            self._on_heartbeat,
-            self._make_confirmation,
-            self._on_confirmation,
+            settings,
+            sync.add_contacts,
+            lambda: sync.is_connected(clock.now()),
+            lambda: self._lease.is_candidate(clock.now()),
         )
-        clock += self._heartbeat_link
-        self._registry = NodeRegistry(self._store, clock, settings, self._heartbeat_link.add_nodes)
         self._lease = PlannerLease(
             self._store,
             clock,
             settings.node,
             settings.store.min_lease_ttl_s,
-            lambda: self._heartbeat_link.heartbeats.should_apply(MAX_CANDIDATES, clock.now()),
+            self._should_apply,
         )
         self._planner = PlannerRunner(
-            self.state, self._lease, self._heartbeat_link, lambda: self._instances_feed.known_until
+            self.state, self._lease, self._peers, lambda: self._instances_feed.known_until
         )
-        self._newly_stalled: dict[InstanceId, float] = {}
         self.ingress = Ingress(self.state, self._config_feed.age, self._on_stalled)
         self._caller_endpoint = HttpServer(clock, self.ingress.handle)
         self._listeners = [
@@ -196,7 +208,7 @@
         self._config_feed.start()
         self._instances_feed.start()
         self._registry.start()
-        self._heartbeat_link.start()
+        self._peers.start()
         self._lease.start()
         self._planner.start()
         self.ingress.start()
@@ -218,7 +230,7 @@
         log_event("stop_begins", in_flight=self.ingress.in_flight)
         self._lease.stop()
         self._registry.leave()
-        self._heartbeat_link.send_now()
+        self._peers.announce()
         self._caller_endpoint.closing = True
         self._clock.every(STOP_CHECK_INTERVAL_S, self._continue_stop)
 
@@ -281,26 +293,26 @@
             return CANDIDATE_READ_WAIT_S
         return 0.0 if now - self._confirmed_at <= CONFIRMATION_LIFETIME_S else READ_WAIT_S
 
-    def _make_confirmation(self, heartbeat: Heartbeat) -> ConfigConfirmation | None:
-        """Return the answer to a heartbeat that confirms the configuration in force, or None.
-
-        Only candidates for the lease confirm, and only to nodes that are not candidates.
-        """
-        now = self._clock.now()
+    def _config_status(self, now: float) -> ConfigStatus | None:
+        """Return the version of the configuration in force and when it was the newest."""
         config = self.state.config
         age = self._config_feed.age(now)
-        if config is None or age is None or heartbeat.candidate or not heartbeat.clock_ms:
+        if config is None or age is None:
             return None
-        if not self._lease.is_candidate(now):
-            return None
-        return ConfigConfirmation(heartbeat.clock_ms, config.version, math.ceil(age * 1000))
+        return ConfigStatus(config.version, age)
 
-    def _on_confirmation(self, confirmation: ConfigConfirmation) -> None:
-        self._newest_config_version = max(self._newest_config_version, confirmation.config_version)
+    def _on_config_status(self, status: ConfigStatus, newest_at: float) -> None:
+        """Use what another node knows of the configuration that is in force here, too."""
+        now = self._clock.now()
         config = self.state.config
-        if config is not None and config.version == confirmation.config_version:
-            self._confirmed_at = self._clock.now()
-            self._config_feed.confirm((confirmation.clock_ms - confirmation.age_ms) / 1000)
+        if config is None or config.version != status.version:
+            return
+        self._config_feed.confirm(newest_at)
+        if now - newest_at < CONFIRMED_MAX_AGE_S:
+            self._confirmed_at = now
+
+    def _on_config_version(self, version: int) -> None:
+        self._newest_config_version = max(self._newest_config_version, version)
 
     def _on_config(self, entries: Sequence[KeyedRecord]) -> None:
         for entry in entries:
@@ -334,7 +346,7 @@
             offset=entry.offset,
         )
         if self._lease.is_candidate(self._clock.now()):
-            self._heartbeat_link.send_now()
+            self._peers.announce()
 
     # Instances
 
@@ -386,9 +398,15 @@
     def _needs_instance_list(self) -> bool:
         """Whether this node follows the instance list itself instead of the planner's targets."""
         now = self._clock.now()
-        return (
-            self._planner.planning or self._lease.holds(now) or self.state.needs_instance_list(now)
-        )
+        if self._planner.planning or self._lease.holds(now):
+            return True
+        if self.state.plan is None and now - self._started_at < self._plan_wait_s(now):
+            return False
+        return self.state.needs_instance_list(now)
+
+    def _plan_wait_s(self, now: float) -> float:
+        node_count = self._peers.sync.members.count_nodes(now)
+        return min(MAX_PLAN_WAIT_S, PLAN_WAIT_PER_NODE_S * node_count)
 
     def _instances_pause_s(self) -> float:
         is_planner = self._planner.planning or self._lease.holds(self._clock.now())
@@ -406,56 +424,90 @@
 
     # Nodes
 
-    def _own_entry(self) -> Heartbeat:
-        """Return this node's own entry for address look-ups.
-
-        Unlike `_make_heartbeat`, it does not count as a plan sent to other nodes.
-        """
+    def _own_member(self) -> Member:
+        """Return the description of this node at its start."""
         settings = self._settings
-        return Heartbeat(
-            node=settings.node,
-            caller_address=settings.caller_address,
-            data_centre=settings.data_centre,
-            ready=self.ready,
-            leaving=self.state.leaving,
+        # The start time makes a restarted process a later incarnation.
+        incarnation = int(time.time() * 1000)
+        return Member(
+            settings.node,
+            incarnation,
+            0,
+            settings.caller_address,
+            settings.data_centre,
+            False,
+            False,
         )
 
-    def _make_heartbeat(self) -> Heartbeat:
-        """Return the heartbeat that is about to be sent."""
-        state = self.state
-        now = self._clock.now()
-        plan = self._planner.plan(now)
-        self._planner.mark_sent(now)
-        return Heartbeat(
-            node=self._settings.node,
-            caller_address=self._settings.caller_address,
-            data_centre=self._settings.data_centre,
-            ready=self.ready,
-            leaving=state.leaving,
-            servers=tuple(ServerInFlight(*row) for row in state.load_tracker.own_load_rows()),
-            demand=state.demand(now),
-            stalled=tuple(self._newly_stalled),
-            plan=plan,
-            candidate=self._lease.is_candidate(now),
-            clock_ms=int(now * 1000),
-            config_version=0 if state.config is None else state.config.version,
+    def _describe(self) -> dict[str, bool]:
+        """Return the fields of this node's description that change while it runs."""
+        return {
+            "ready": self.ready,
+            "leaving": self.state.leaving,
+            "candidate": self._lease.is_candidate(self._clock.now()),
+        }
+
+    def _callbacks(self) -> SyncCallbacks:
+        return SyncCallbacks(
+            own_load=self.state.own_load,
+            plan_status=self._plan_status,
+            config_status=self._config_status,
+            on_plan=self._on_plan_status,
+            on_config=self._on_config_status,
+            on_config_version=self._on_config_version,
+            on_load=self.state.set_peer_load,
+            on_stalled=self._on_stalled_elsewhere,
+            on_members=self._on_members,
         )
 
-    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
-        self._newest_config_version = max(self._newest_config_version, heartbeat.config_version)
-        self.state.accept_heartbeat(heartbeat, self._clock.now())
-        for server in heartbeat.stalled:
-            self._planner.probe_group_of(server)
-        if heartbeat.plan is not None:
+    def _should_apply(self) -> bool:
+        now = self._clock.now()
+        sync = self._peers.sync
+        return sync.is_settled(now) and sync.members.should_apply(MAX_CANDIDATES, now)
+
+    def _plan_status(self, now: float) -> PlanStatus | None:
+        state = self.state
+        if self._planner.publishes(now):
+            version = self._peers.sync.plan_log.version
+            return PlanStatus(version, 0.0, self._planner.list_age(now), self._settings.node)
+        if state.plan is None or state.planner is None:
+            return None
+        age_s, list_age_s = state.plan_age(now), state.plan_list_age(now)
+        return PlanStatus(state.targets_version, age_s, list_age_s, state.planner)
+
+    def _on_plan_status(self, status: PlanStatus, at: float) -> None:
+        """Put the plan of another node into force, or confirm it if it is known here."""
+        state = self.state
+        if status.planner == self._settings.node:
+            return
+        plan_log = self._peers.sync.plan_log
+        has_rows = plan_log.version == status.version
+        is_new = has_rows and state.targets_version != status.version
+        targets = plan_log.targets if is_new else None
+        plan = Plan(status.version.term, status.version.sequence, True, targets)
+        state.planner_heard(at - status.age_s)
+        state.planner = status.planner
+        state.accept_plan(plan, at - status.age_s, at - status.list_age_s)
+        if is_new:
             self.ingress.retry_held()
 
+    def _on_members(self, appeared: list[NodeId], gone: list[NodeId]) -> None:
+        for node in appeared:
+            log_event("node_appeared", node=node)
+        for node in gone:
+            log_warning("node_gone", node=node)
+
     def _on_stalled(self, server: InstanceId) -> None:
-        """Send a heartbeat that names the stalled server; on the planner, also probe its group."""
-        self._newly_stalled[server] = self._clock.now()
+        """Tell other nodes of a stalled server; on the planner, also probe its group."""
         if self._planner.planning:
             self._planner.probe_group_of(server)
-        self._heartbeat_link.send_now()
-        self._newly_stalled.pop(server, None)
+        self._peers.announce(stalled=(server,))
+
+    def _on_stalled_elsewhere(self, servers: tuple[InstanceId, ...]) -> None:
+        now = self._clock.now()
+        for server in servers:
+            self.state.avoid(server, now)
+            self._planner.probe_group_of(server)
 
     # Directory, readiness and metrics
 
@@ -474,10 +526,7 @@
             reply.send_whole(404, (), b"")
             return
         now = self._clock.now()
-        own_entry = self._own_entry()
-        addresses = self._heartbeat_link.heartbeats.addresses(
-            own_entry, query.data_centre, self.state.rng, now
-        )
+        addresses = self._peers.sync.members.addresses(query.data_centre, self.state.rng, now)
         if not addresses:
             reply.send_whole(503, (), b"")
             return
@@ -491,8 +540,7 @@
     def _run_housekeeping(self) -> None:
         state = self.state
         now = self._clock.now()
-        state.node_count = self._heartbeat_link.heartbeats.count_nodes(now)
-        self._heartbeat_link.heartbeats.drop_silent(now)
+        state.node_count = self._peers.sync.members.count_nodes(now)
         state.load_tracker.prune(
             {listed_instance.id for listed_instance in state.fleet.all_instances()}
         )
--- a/briarpond/gateway/_peers.py
+++ b/briarpond/gateway/_peers.py
@@ -1,36 +1,37 @@
-"""Heartbeats to and from the other nodes, as UDP datagrams."""
+"""Sockets and timers of the exchange with the other nodes, as UDP datagrams."""
 
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from circuits import BaseComponent
 
 from briarpond.directory import (
-    ConfigConfirmation,
-    Heartbeat,
-    HeartbeatTable,
+    HOUSEKEEPING_INTERVAL_S,
+    PAUSE_S,
+    Answer,
+    Member,
+    Notice,
+    Outgoing,
+    PeerSync,
+    PlanDelta,
+    Pull,
+    SyncCallbacks,
     decode_datagram,
-    encode_confirmation,
-    encode_heartbeat,
+    encode_datagram,
 )
-from briarpond.ids import NodeId
-from briarpond.logs import log_event, log_warning
+from briarpond.ids import InstanceId
+from briarpond.logs import log_warning
 from briarpond.net import Address, Clock, DirectPoller
 
-# Time between two heartbeats to the same node, as long as MAX_HEARTBEATS_PER_S allows it.
-HEARTBEAT_INTERVAL_S = 0.2
-# Largest number of periodic heartbeats that a node sends in a second, to all others together;
-# with more nodes the interval grows.
-MAX_HEARTBEATS_PER_S = 120.0
 # Buffer for one datagram.
 MAX_DATAGRAM_BYTES = 65_000
 # Datagrams that are read before the event loop goes on to other work.
 MAX_DATAGRAMS_PER_READ = 64
 
 
-class HeartbeatLink(BaseComponent):
-    """Sends this node's heartbeat to all known nodes and receives theirs.
+class PeerLink(BaseComponent):
+    """Sends and receives the datagrams of a `PeerSync`.
 
     Parameters
     ----------
@@ -40,21 +41,17 @@
         Calls `on_readable` when the socket has datagrams.
     address : Address
         UDP address to bind; all nodes use the same port.
-    node : NodeId
-        Name of this node.
-    make_heartbeat : callable
-        Returns the heartbeat to send.
-    on_heartbeat : callable
-        Takes each heartbeat of another node.
-    make_confirmation : callable
-        Takes the heartbeat of another node; returns the answer to send to it, or None.
-    on_confirmation : callable
-        Takes each confirmation that another node sent to this one.
+    own : Member
+        Description of this node.
+    callbacks : SyncCallbacks
+        Connection to the rest of the node.
+    describe : callable
+        Returns the fields of this node's description that may have changed.
 
     Attributes
     ----------
-    heartbeats : HeartbeatTable
-        Last heartbeat of each other node.
+    sync : PeerSync
+        State of the exchange.
     """
 
     channel = "peers"
@@ -64,88 +61,111 @@
         clock: Clock,
         poller: DirectPoller,
         address: Address,
-        node: NodeId,
-        make_heartbeat: Callable[[], Heartbeat],
-        on_heartbeat: Callable[[Heartbeat], None],
-        make_confirmation: Callable[[Heartbeat], ConfigConfirmation | None],
-        on_confirmation: Callable[[ConfigConfirmation], None],
+        own: Member,
+        callbacks: SyncCallbacks,
+        describe: Callable[[], dict[str, bool]],
     ) -> None:
         super().__init__()
-        self.heartbeats = HeartbeatTable(node)
+        self.sync = PeerSync(own, callbacks, random.Random(), clock.now())
         self._clock = clock
-        self._node = node
         self._port = address.port
-        self._make_heartbeat = make_heartbeat
-        self._on_heartbeat = on_heartbeat
-        self._make_confirmation = make_confirmation
-        self._on_confirmation = on_confirmation
-        self._hosts: dict[NodeId, str] = {}
-        self._unread = 0
+        self._describe = describe
+        self._housekept_at = clock.now()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.bind(address)
         poller.addReader(self, self._sock)
 
     def start(self) -> None:
-        """Start to send periodic heartbeats."""
-        self._send_periodically()
+        """Start to pull from other nodes."""
+        self._clock.every(HOUSEKEEPING_INTERVAL_S, self._housekeep)
+        self._pull_periodically()
 
-    def add_nodes(self, hosts: dict[NodeId, str]) -> None:
-        """Add the registered nodes, given as hosts by name, to those that get heartbeats."""
-        self._hosts.update({node: host for node, host in hosts.items() if node != self._node})
-
-    def forget(self, node: NodeId) -> None:
-        """Send no more heartbeats to a node that has left."""
-        self._hosts.pop(node, None)
-
-    def send_now(self) -> None:
-        """Send a heartbeat to all known nodes immediately."""
-        data = encode_heartbeat(self._make_heartbeat())
-        for host in set(self._hosts.values()):
-            self._send(data, host)
+    def announce(
+        self, stalled: tuple[InstanceId, ...] = (), delta: PlanDelta | None = None
+    ) -> None:
+        """Tell other nodes at once of a change here, of stalled servers or of a new plan."""
+        self._refresh_own()
+        self._send_all(self.sync.announce(self._clock.now(), stalled, delta))
 
     def on_readable(self, _sock: socket.socket) -> None:
         """Receive waiting datagrams; called by the poller."""
+        if self._was_paused():
+            self._discard_waiting()
+            return
         for _ in range(MAX_DATAGRAMS_PER_READ):
-            try:
-                data, _address = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-            except BlockingIOError:
-                return
-            except OSError as exc:
-                log_warning("beat_not_read", error=str(exc))
+            data = self._receive()
+            if data is None:
                 return
             self._handle_datagram(data)
 
     def on_writable(self, _sock: socket.socket) -> None:
         """Do nothing; the poller never calls this, as no writer is registered."""
 
+    def _receive(self) -> bytes | None:
+        try:
+            return self._sock.recvfrom(MAX_DATAGRAM_BYTES)[0]
+        except BlockingIOError:
+            return None
+        except OSError as exc:
+            log_warning("datagram_not_read", error=str(exc))
+            return None
+
     def _handle_datagram(self, data: bytes) -> None:
         message = decode_datagram(data)
         if message.is_error():
-            log_warning("beat_malformed", error=message.error)
-        elif isinstance(message.ok, ConfigConfirmation):
-            self._on_confirmation(message.ok)
-        elif message.ok.node != self._node:
-            self._handle_heartbeat(message.ok)
-
-    def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        host = heartbeat.caller_address.host
-        self._hosts[heartbeat.node] = host
-        if self.heartbeats.record(heartbeat, self._clock.now()):
-            log_event("node_heard", node=heartbeat.node, host=host)
-        self._on_heartbeat(heartbeat)
-        confirmation = self._make_confirmation(heartbeat)
-        if confirmation is not None:
-            self._send(encode_confirmation(confirmation), host)
+            log_warning("datagram_malformed", error=message.error)
+            return
+        now = self._clock.now()
+        match message.ok:
+            case Pull():
+                self._refresh_own()
+                self._send_all(self.sync.on_pull(message.ok, now))
+            case Answer():
+                self._send_all(self.sync.on_answer(message.ok, now))
+            case Notice():
+                self._send_all(self.sync.on_notice(message.ok, now))
+
+    def _refresh_own(self) -> None:
+        self.sync.members.update_own(**self._describe())
+
+    def _send_all(self, outgoing: Iterable[Outgoing]) -> None:
+        data, previous = b"", None
+        for each in outgoing:
+            if each.message is not previous:
+                data, previous = encode_datagram(each.message), each.message
+            self._send(data, each.host)
 
     def _send(self, data: bytes, host: str) -> None:
         try:
             self._sock.sendto(data, (host, self._port))
         except OSError as exc:
-            # No retry: the next heartbeat carries the same content.
-            log_warning("beat_not_sent", host=host, error=str(exc))
-
-    def _send_periodically(self) -> None:
-        self.send_now()
-        interval = max(HEARTBEAT_INTERVAL_S, len(self._hosts) / MAX_HEARTBEATS_PER_S)
-        self._clock.after(interval * random.uniform(0.9, 1.1), self._send_periodically)
+            # No retry: the next pull carries the same content.
+            log_warning("datagram_not_sent", host=host, error=str(exc))
+
+    def _pull_periodically(self) -> None:
+        self._refresh_own()
+        outgoing, delay = self.sync.next_pull(self._clock.now())
+        if outgoing is not None:
+            self._send_all([outgoing])
+        self._clock.after(delay * random.uniform(0.9, 1.1), self._pull_periodically)
+
+    def _housekeep(self) -> None:
+        if self._was_paused():
+            self._discard_waiting()
+        now = self._clock.now()
+        self._housekept_at = now
+        self._send_all(self.sync.housekeep(now))
+
+    def _was_paused(self) -> bool:
+        """Whether this process was not scheduled for so long that datagrams may be outdated."""
+        return self._clock.now() - self._housekept_at > HOUSEKEEPING_INTERVAL_S + PAUSE_S
+
+    def _discard_waiting(self) -> None:
+        discarded = 0
+        while self._receive() is not None:
+            discarded += 1
+        now = self._clock.now()
+        log_warning("pause_noticed", seconds=round(now - self._housekept_at, 1), lost=discarded)
+        self._housekept_at = now
+        self.sync.on_pause(now)
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -3,7 +3,7 @@
 import itertools
 from collections.abc import Callable
 
-from briarpond.directory import GroupTarget, Plan, RoutingTargets
+from briarpond.directory import GroupTarget, ModelDemand, Plan, RoutingTargets
 from briarpond.fleet import MemberState
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.logs import log_event, log_warning
@@ -21,7 +21,7 @@
 from briarpond.routes import ModelName, ServiceSpec
 
 from ._lease import PlannerLease
-from ._peers import HeartbeatLink
+from ._peers import PeerLink
 from ._state import NodeState
 
 # Interval of the planning steps, each of which first checks the lease.
@@ -32,15 +32,6 @@
 # The same if no plan of another planner arrives: the lease of the previous planner has then
 # expired by that planner's own clock.
 TAKE_OVER_DELAY_IF_SILENT_S = 0.3
-# For this time after a change, every heartbeat carries the targets; later only one in each
-# FULL_PLAN_INTERVAL_S does, and the others carry only the number of the plan.
-NEW_PLAN_REPEAT_S = 1.3
-FULL_PLAN_INTERVAL_S = 1.2
-# Age of the planner's view of the instance list above which its plans are marked as not
-# current, so that other nodes read the list themselves. They must have read it well within the
-# bound of 2 s on requests to a departed server, also if the planner's connection to the store
-# hung without an error just before the departure.
-LIST_MAX_AGE_S = 1.25
 # Timeouts of an order to an instance and of a probe.
 ORDER_TIMEOUT_S = 0.4
 PROBE_TIMEOUT_S = 0.3
@@ -60,7 +51,7 @@
         Shared state of the node.
     lease : PlannerLease
         The planner's lease.
-    heartbeat_link : HeartbeatLink
+    peers : PeerLink
         Carries the plan to the other nodes, and their demand to this one.
     list_known_until : callable
         Returns the time up to which this node has followed the instance list without a
@@ -71,18 +62,14 @@
         self,
         state: NodeState,
         lease: PlannerLease,
-        heartbeat_link: HeartbeatLink,
+        peers: PeerLink,
         list_known_until: Callable[[], float | None],
     ) -> None:
         self._state = state
         self._list_known_until = list_known_until
         self._lease = lease
-        self._heartbeat_link = heartbeat_link
+        self._peers = peers
         self._planners: dict[ServiceName, Planner] = {}
-        self._sequence = 0
-        self._published = RoutingTargets()
-        self._published_at = 0.0
-        self._full_plan_sent_at = 0.0
         self._probes: dict[InstanceId, Exchange] = {}
         self._probed_at: dict[InstanceId, float] = {}
         self._term = 0
@@ -94,31 +81,19 @@
         """Whether this node is the planner at present."""
         return bool(self._planners)
 
+    def publishes(self, now: float) -> bool:
+        """Whether the newest plan is this node's own, and this node still stands by it."""
+        is_own = self._peers.sync.plan_log.version.term == self._term
+        return is_own and (self.planning or (self.taking_over and self._term == self._lease.term))
+
     def start(self) -> None:
         """Start the periodic steps."""
         self._state.clock.every(STEP_INTERVAL_S, self.step)
 
-    def plan(self, now: float) -> Plan | None:
-        """Return the plan for the next heartbeat; None unless this node plans.
-
-        It contains the targets while they are new, and afterwards once in each
-        `FULL_PLAN_INTERVAL_S` for nodes that have just started or missed them.
-        """
-        if not self._planners:
-            return None
-        targets = self._published if self._sends_targets(now) else None
-        return Plan(self._term, self._sequence, self._list_is_current(now), targets)
-
-    def mark_sent(self, now: float) -> None:
-        """Note that the plan that `plan` returned at `now` was sent to the other nodes."""
-        if self._repeat_is_due(now):
-            self._full_plan_sent_at = now
-
-    def _sends_targets(self, now: float) -> bool:
-        return now - self._published_at < NEW_PLAN_REPEAT_S or self._repeat_is_due(now)
-
-    def _repeat_is_due(self, now: float) -> bool:
-        return now - self._full_plan_sent_at >= FULL_PLAN_INTERVAL_S
+    def list_age(self, now: float) -> float:
+        """Return the seconds since this node had followed the instance list without a gap."""
+        known_until = self._list_known_until()
+        return float("inf") if known_until is None else now - known_until
 
     def probe_group_of(self, server: InstanceId) -> None:
         """Probe all members of a stalled server's group, to find out which one is lost."""
@@ -136,6 +111,8 @@
         config = state.config
         if config is None or state.leaving or not self._may_plan(now):
             self._stop_planning()
+            if self.taking_over:
+                self._publish_listed_groups(now)
             return
         for spec in config.services.values():
             if spec.engine is not None and spec.engine.models:
@@ -154,7 +131,7 @@
         return (
             lapsed
             and not self._superseded()
-            and self._heartbeat_link.heartbeats.no_node_reaches_store(now)
+            and self._peers.sync.members.no_node_reaches_store(now)
         )
 
     def _may_take_over(self, now: float) -> bool:
@@ -251,13 +228,25 @@
 
     def _demand(self, now: float) -> dict[ModelName, float]:
         """Return how many groups of each model the requests to all nodes would fill."""
-        sums: dict[ModelName, float] = {}
-        demand_rows = list(self._state.demand(now))
-        for heartbeat in self._heartbeat_link.heartbeats.live(now):
-            demand_rows += heartbeat.demand
-        for row in demand_rows:
-            sums[row.model] = sums.get(row.model, 0.0) + row.groups
-        return sums
+        rows: tuple[ModelDemand, ...] = self._peers.sync.demand(now)
+        return {row.model: row.groups for row in rows}
+
+    def _publish_listed_groups(self, now: float) -> None:
+        """Before planning may begin, publish the groups that the instance list shows as open.
+
+        So the other nodes need not read the list after a loss of the previous planner or a
+        restart of the whole system.
+        """
+        known_until = self._list_known_until()
+        if known_until is None or known_until < self._lease.held_since:
+            return
+        plan = self._state.plan
+        is_own = plan is not None and plan.term == self._lease.term
+        if not is_own and self._state.plan_is_in_force(now):
+            # The previous planner's plan leaves out heads that it found lost.
+            return
+        self._term = self._lease.term
+        self._publish_targets(self._state.own_targets(), now)
 
     def _publish(self, now: float) -> None:
         """Put the present targets into force here, and send them at once if they changed."""
@@ -267,28 +256,31 @@
             for group in planner.serving_groups(now)
             if (target := self._group_target(group)) is not None
         )
-        targets = RoutingTargets(groups, self._state.own_targets().servers)
-        changed = targets != self._published or self._sequence == 0
-        if changed:
-            self._published = targets
-            self._sequence += 1
-            self._published_at = now
-            self._state.metrics.groups.set({}, len(groups))
-        self._state.accept_plan(
-            Plan(self._term, self._sequence, self._list_is_current(now), targets), now
-        )
-        if changed:
-            self._heartbeat_link.send_now()
+        self._publish_targets(RoutingTargets(groups, self._state.own_targets().servers), now)
 
-    def _list_is_current(self, now: float) -> bool:
-        known_until = self._list_known_until()
-        return known_until is not None and now - known_until < LIST_MAX_AGE_S
+    def _publish_targets(self, wanted: RoutingTargets, now: float) -> None:
+        plan_log = self._peers.sync.plan_log
+        if plan_log.version.term > self._term:
+            return
+        previous = plan_log.version
+        changed = plan_log.publish(self._term, wanted)
+        version = plan_log.version
+        targets = plan_log.targets
+        list_known_at = now - self.list_age(now)
+        plan = Plan(version.term, version.sequence, True, targets)
+        self._state.accept_plan(plan, now, list_known_at)
+        self._state.planner = self._state.settings.node
+        if changed:
+            self._state.metrics.groups.set({}, len(targets.groups))
+            self._peers.announce(delta=plan_log.delta_since(previous))
 
     def _group_target(self, group: PlannedGroup) -> GroupTarget | None:
         head = self._state.fleet.get(group.head)
         if head is None or group.head in self._state.fleet.unavailable_since:
             return None
-        return GroupTarget(group.id, group.epoch, group.model, group.head, head.address)
+        return GroupTarget(
+            group.id, group.epoch, group.model, group.head, head.address, head.data_centre
+        )
 
     def _send_order(self, planner: Planner, order: Order) -> None:
         clock = self._state.clock
--- a/briarpond/gateway/_registry.py
+++ b/briarpond/gateway/_registry.py
@@ -1,10 +1,9 @@
-"""Registration of nodes at the store, through which nodes first find each other."""
+"""How a node first finds others: through its settings, otherwise through the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
-from briarpond.ids import NodeId
 from briarpond.logs import log_event, log_warning
 from briarpond.net import Clock, LossReason
 from briarpond.platform import (
@@ -22,7 +21,12 @@
 CALL_TIMEOUT_S = 1.0
 # Wait before a failed registration or read is repeated.
 RETRY_DELAY_S = 0.5
-# How often the list of nodes is read again.
+# How long the nodes that the settings name may take to answer before the store is asked.
+SEED_DELAY_S = 0.8
+# How often it is checked whether this node has lost contact with all others.
+CHECK_INTERVAL_S = 1.0
+# How often a candidate for the planner's lease reads the whole list, so that parts of the
+# system that have lost sight of each other meet again.
 READ_INTERVAL_S = 30.0
 
 
@@ -32,17 +36,19 @@
     Attributes
     ----------
     host : str
-        Address at which the node receives heartbeats.
+        Address at which the node receives datagrams.
     """
 
     host: str
 
 
 class NodeRegistry:
-    """Registers this node at the store, then reads the registered nodes repeatedly.
+    """Finds other nodes, and lets itself be found by them.
 
-    Each node writes before it reads. So of any two nodes at least one finds the other in
-    the list, and the other learns of it from its heartbeat.
+    Nodes that the settings name are tried first. A node that finds nobody there registers at
+    the store and reads the list of registered nodes; each node writes before it reads, so of
+    any two nodes at least one finds the other. Candidates for the planner's lease register in
+    any case, so that the list is never empty for long.
 
     Parameters
     ----------
@@ -51,9 +57,13 @@
     clock : Clock
         Source of timers.
     settings : GatewaySettings
-        Name and host of this node.
-    on_nodes : callable
-        Called after each complete read with the hosts of all registered nodes, by name.
+        Name and host of this node, and hosts of others.
+    add_hosts : callable
+        Takes the hosts at which other nodes may be found.
+    is_connected : callable
+        Returns whether another node has answered lately.
+    is_candidate : callable
+        Returns whether this node applies for the planner's lease.
     """
 
     def __init__(
@@ -61,24 +71,32 @@
         store: StoreClient,
         clock: Clock,
         settings: GatewaySettings,
-        on_nodes: Callable[[dict[NodeId, str]], None],
+        add_hosts: Callable[[Iterable[str]], None],
+        is_connected: Callable[[], bool],
+        is_candidate: Callable[[], bool],
     ) -> None:
         self._store = store
         self._clock = clock
         self._settings = settings
-        self._on_nodes = on_nodes
-        self._unregistered = False
-        self._listed_nodes: dict[NodeId, str] = {}
+        self._add_hosts = add_hosts
+        self._is_connected = is_connected
+        self._is_candidate = is_candidate
+        self._left = False
+        self._registered = False
+        self._busy = False
+        self._next_read_at = 0.0
 
     def start(self) -> None:
-        """Register this node; read the list once that has succeeded."""
-        value = msgspec.json.encode(NodeRecord(self._settings.host))
-        request = append_record_request(NODES_TOPIC, self._settings.node, value)
-        self._store.call(request, CALL_TIMEOUT_S, self._on_registered, self._on_register_failed)
+        """Try the nodes that the settings name; without any, ask the store at once."""
+        self._add_hosts(self._settings.seed_hosts)
+        delay = SEED_DELAY_S if self._settings.seed_hosts else 0.0
+        self._clock.after(delay, lambda: self._clock.every(CHECK_INTERVAL_S, self._check))
 
     def leave(self) -> None:
         """Remove this node from the list; stop registering and reading."""
-        self._unregistered = True
+        self._left = True
+        if not self._registered:
+            return
         request = append_record_request(NODES_TOPIC, self._settings.node, None)
         self._store.call(
             request,
@@ -87,48 +105,69 @@
             lambda reason: log_warning("node_not_unregistered", reason=reason.value),
         )
 
+    def _check(self) -> None:
+        """Register if this node should be in the list, and read the list if that is due."""
+        if self._busy or self._left:
+            return
+        isolated = not self._is_connected()
+        if not self._registered and (isolated or self._is_candidate()):
+            self._register()
+        elif isolated or (self._is_candidate() and self._clock.now() >= self._next_read_at):
+            self._read(None)
+
+    def _register(self) -> None:
+        self._busy = True
+        value = msgspec.json.encode(NodeRecord(self._settings.host))
+        request = append_record_request(NODES_TOPIC, self._settings.node, value)
+        self._store.call(request, CALL_TIMEOUT_S, self._on_registered, self._on_register_failed)
+
     def _on_registered(self, status: int, _body: bytes) -> None:
         if status == 200:
+            self._registered = True
             log_event("node_registered", node=self._settings.node)
             self._read(None)
-        elif not self._unregistered:
-            self._clock.after(RETRY_DELAY_S, self.start)
+        else:
+            self._retry_later()
 
     def _on_register_failed(self, reason: LossReason) -> None:
         log_warning("node_not_registered", reason=reason.value)
-        if not self._unregistered:
-            self._clock.after(RETRY_DELAY_S, self.start)
+        self._retry_later()
 
     def _read(self, after: str | None) -> None:
-        if self._unregistered:
-            return
+        self._busy = True
         request = newest_records_request(NODES_TOPIC, after)
         self._store.call(request, CALL_TIMEOUT_S, self._on_page, self._on_read_failed)
 
     def _on_page(self, status: int, body: bytes) -> None:
         page = decode_newest(body) if status == 200 else None
         if page is None or page.is_error():
-            self._clock.after(RETRY_DELAY_S, lambda: self._read(None))
+            self._retry_later()
             return
-        for entry in page.ok.entries:
-            self._add_node(entry)
-        if page.ok.next_after is not None:
+        hosts = [host for entry in page.ok.entries if (host := _read_host(entry)) is not None]
+        self._add_hosts(hosts)
+        if page.ok.next_after is not None and not self._left:
             self._read(page.ok.next_after)
             return
-        listed_nodes, self._listed_nodes = self._listed_nodes, {}
-        self._on_nodes(listed_nodes)
-        self._clock.after(READ_INTERVAL_S, lambda: self._read(None))
-
-    def _add_node(self, entry: KeyedRecord) -> None:
-        if entry.value is None:
-            return
-        try:
-            node_record = msgspec.json.decode(entry.value, type=NodeRecord)
-        except msgspec.MsgspecError as exc:
-            log_warning("node_unreadable", key=entry.key, error=str(exc))
-            return
-        self._listed_nodes[NodeId(entry.key)] = node_record.host
+        self._busy = False
+        self._next_read_at = self._clock.now() + READ_INTERVAL_S
 
     def _on_read_failed(self, reason: LossReason) -> None:
         log_warning("nodes_not_read", reason=reason.value)
-        self._clock.after(RETRY_DELAY_S, lambda: self._read(None))
+        self._retry_later()
+
+    def _retry_later(self) -> None:
+        def retry() -> None:
+            self._busy = False
+            self._check()
+
+        self._clock.after(RETRY_DELAY_S, retry)
+
+
+def _read_host(entry: KeyedRecord) -> str | None:
+    if entry.value is None:
+        return None
+    try:
+        return msgspec.json.decode(entry.value, type=NodeRecord).host
+    except msgspec.MsgspecError as exc:
+        log_warning("node_unreadable", key=entry.key, error=str(exc))
+        return None
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -5,12 +5,15 @@
 from collections.abc import Callable
 
 from briarpond.directory import (
+    RELAY_INTERVAL_S,
     GroupTarget,
-    Heartbeat,
+    Load,
     ModelDemand,
     PlainServerTarget,
     Plan,
+    PlanVersion,
     RoutingTargets,
+    ServerInFlight,
 )
 from briarpond.dispatch import (
     EventGapTracker,
@@ -19,19 +22,19 @@
     SharedRetryBudget,
     slot_occupancy_s,
 )
-from briarpond.fleet import FleetView, InstanceState, MemberState, assemble_groups
-from briarpond.ids import InstanceId, ServiceName
+from briarpond.fleet import FleetView, InstanceState, ListedGroup, MemberState, assemble_groups
+from briarpond.ids import DataCentre, InstanceId, NodeId, ServiceName
 from briarpond.net import Clock, HttpClient
 from briarpond.platform import GatewaySettings
 from briarpond.routes import EngineSpec, GatewayConfiguration, ModelName, RouteTable
 
 from ._metrics import GatewayMetrics
 
-# A plan that was not repeated for this long is no longer in force; the node then uses its own
-# view of the instance list.
-PLAN_LIFETIME_S = 1.5
-# A planner that was not heard for this long has stopped or lost its lease.
-PLANNER_TIMEOUT_S = 0.9
+# What the planner tells of departed servers is relied on for the bound on requests to them,
+# less this time, in which a node can read the instance list itself.
+OWN_READ_TIME_S = 0.5
+# A planner that did not confirm its plan for this long has stopped or lost its lease.
+PLANNER_TIMEOUT_S = 2.25 * RELAY_INTERVAL_S
 # How long nothing is sent to a server that refused a connection or stalled.
 AVOID_DURATION_S = 1.0
 # Sliding window over which the demand for models is averaged.
@@ -40,6 +43,17 @@
 TARGET_FILL = 0.7
 
 
+def plan_lifetime_s(drain_within_s: float) -> float:
+    """Return for how long a plan may be used without a newer view of the instance list.
+
+    Parameters
+    ----------
+    drain_within_s : float
+        Bound on the time from a server's departure to the last request sent to it.
+    """
+    return drain_within_s - OWN_READ_TIME_S
+
+
 class NodeState:
     """Configuration in force, fleet view, loads and plan of one node.
 
@@ -66,8 +80,12 @@
         Whether the node is about to stop.
     plan : Plan or None
         Newest plan that this node received or published; None before the first.
+    planner : NodeId or None
+        Node that made the newest plan; None before there is one.
+    targets_version : PlanVersion
+        Version of the plan that the routing targets are from.
     node_count : int
-        Number of nodes that are heard, this one included.
+        Number of nodes that are alive, this one included.
     list_known_until : callable
         Returns the time up to which this node has followed the instance list without a
         gap; None if it has not read the list.
@@ -85,16 +103,17 @@
         self.metrics = GatewayMetrics()
         self.leaving = False
         self.plan: Plan | None = None
+        self.planner: NodeId | None = None
         self.node_count = 1
         self.list_known_until: Callable[[], float | None] = lambda: None
-        self._plan_repeated_at = float("-inf")
-        self._current_plan_at = float("-inf")
+        self._plan_confirmed_at = float("-inf")
+        self._plan_list_known_at = float("-inf")
         self._planner_heard_at = float("-inf")
         self._retry_budgets: dict[ServiceName, SharedRetryBudget] = {}
         self._avoided_until: dict[InstanceId, float] = {}
         self._recent_demand: deque[tuple[float, ModelName, float]] = deque()
         self._targets = RoutingTargets()
-        self._targets_plan_version = (-1, -1)
+        self.targets_version = PlanVersion(-1, -1)
         self._own_targets_cache: tuple[int, RoutingTargets] = (-1, RoutingTargets())
 
     @property
@@ -119,25 +138,50 @@
             self._retry_budgets[service] = budget
         return budget
 
-    def accept_plan(self, plan: Plan, now: float) -> None:
+    def accept_plan(
+        self, plan: Plan, confirmed_at: float, list_known_at: float | None = None
+    ) -> None:
         """Put a plan into force unless it is older than the present one.
 
-        A plan without targets only repeats one that was sent before: it extends the
+        A plan without targets only confirms one that was received before: it extends the
         lifetime of the targets if this node has them, but does not replace them.
+
+        Parameters
+        ----------
+        plan : Plan
+            The plan.
+        confirmed_at : float
+            Time at which the planner had this plan.
+        list_known_at : float or None
+            Time up to which the planner had followed the instance list; by default
+            `confirmed_at`.
         """
         current = self.plan
-        plan_version = (plan.term, plan.sequence)
-        if current is not None and plan_version < (current.term, current.sequence):
+        version = PlanVersion(plan.term, plan.sequence)
+        if current is not None and version < PlanVersion(current.term, current.sequence):
             return
         if plan.targets is not None:
             self._stop_avoiding_new_heads(plan.targets)
             self._targets = plan.targets
-            self._targets_plan_version = plan_version
+            self.targets_version = version
         self.plan = plan
-        if self._targets_plan_version == plan_version:
-            self._plan_repeated_at = now
+        if self.targets_version == version:
+            self._plan_confirmed_at = max(self._plan_confirmed_at, confirmed_at)
             if plan.list_is_current:
-                self._current_plan_at = now
+                known_at = confirmed_at if list_known_at is None else list_known_at
+                self._plan_list_known_at = max(self._plan_list_known_at, known_at)
+
+    def planner_heard(self, at: float) -> None:
+        """Record that the planner, another node, had its plan at a time."""
+        self._planner_heard_at = max(self._planner_heard_at, at)
+
+    def plan_age(self, now: float) -> float:
+        """Return the seconds since the planner confirmed the plan."""
+        return now - self._plan_confirmed_at
+
+    def plan_list_age(self, now: float) -> float:
+        """Return the seconds since the planner's view of the instance list was current."""
+        return now - self._plan_list_known_at
 
     def _stop_avoiding_new_heads(self, targets: RoutingTargets) -> None:
         """Make avoided heads usable again where they head a new group."""
@@ -147,21 +191,24 @@
                 self._avoided_until.pop(target.head, None)
 
     def planner_is_heard(self, now: float) -> bool:
-        """Whether another node sent a plan within the last `PLANNER_TIMEOUT_S` seconds."""
+        """Whether another node confirmed its plan within the last `PLANNER_TIMEOUT_S` seconds."""
         return now - self._planner_heard_at < PLANNER_TIMEOUT_S
 
     def plan_is_in_force(self, now: float) -> bool:
-        """Whether a plan whose targets are known here arrived within `PLAN_LIFETIME_S` seconds."""
-        return self.plan is not None and now - self._plan_repeated_at <= PLAN_LIFETIME_S
+        """Whether a plan whose targets are known here was confirmed a short time ago."""
+        return self.plan is not None and self.plan_age(now) <= self._plan_lifetime_s()
 
     def needs_instance_list(self, now: float) -> bool:
         """Whether this node must follow the instance list itself.
 
         It need not while a plan is in force whose sender follows the list.
         """
-        return not (
-            self.plan_is_in_force(now) and self.plan is not None and self.plan.list_is_current
-        )
+        if self.plan is None or not self.plan.list_is_current:
+            return True
+        return not self.plan_is_in_force(now) or self.plan_list_age(now) > self._plan_lifetime_s()
+
+    def _plan_lifetime_s(self) -> float:
+        return plan_lifetime_s(self.settings.bounds.drain_within_s)
 
     def groups(self, now: float) -> tuple[GroupTarget, ...]:
         """Return the groups that requests may be sent to.
@@ -169,7 +216,7 @@
         They are those of the plan while it is in force, and afterwards until this node has
         read the instance list anew.
         """
-        if self.plan_is_in_force(now) or self._list_is_older_than(self._plan_repeated_at):
+        if self.plan_is_in_force(now) or self._list_is_older_than(self._plan_confirmed_at):
             return self._targets.groups
         return self.own_targets().groups
 
@@ -192,7 +239,9 @@
         A node that has to follow the list again needs a moment to read the changes that it
         missed; until then the planner's last targets are more recent than its own view.
         """
-        return self.needs_instance_list(now) and not self._list_is_older_than(self._current_plan_at)
+        return self.needs_instance_list(now) and not self._list_is_older_than(
+            self._plan_list_known_at
+        )
 
     def _list_is_older_than(self, plan_at: float) -> bool:
         known_until = self.list_known_until()
@@ -234,23 +283,30 @@
             sums[model] = sums.get(model, 0.0) + group_share / DEMAND_WINDOW_S
         return tuple(ModelDemand(model, groups) for model, groups in sums.items())
 
-    def accept_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
-        """Take over loads, stalled servers and plan from another node's heartbeat."""
-        rows = [(row.instance, row.in_flight, row.unread_tokens) for row in heartbeat.servers]
-        self.load_tracker.set_peer_load(heartbeat.node, rows, now)
-        for server in heartbeat.stalled:
-            self.avoid(server, now)
-        if heartbeat.plan is not None:
-            self._planner_heard_at = now
-            self.accept_plan(heartbeat.plan, now)
+    def own_load(self, now: float) -> Load:
+        """Return this node's requests in flight and its demand."""
+        rows = self.load_tracker.own_load_rows()
+        return Load(tuple(ServerInFlight(*row) for row in rows), self.demand(now))
+
+    def set_peer_load(self, source: str, load: Load) -> None:
+        """Replace the requests in flight that another node or a relay reported."""
+        rows = [(row.instance, row.in_flight, row.unread_tokens) for row in load.servers]
+        self.load_tracker.set_peer_load(source, rows)
 
     def _own_groups(self) -> tuple[GroupTarget, ...]:
         return tuple(
-            GroupTarget(group.id, group.epoch, group.model, group.head, group.head_address)
+            self._group_target(group)
             for group in assemble_groups(self.fleet.all_instances())
             if group.state is MemberState.OPEN and group.head not in self.fleet.unavailable_since
         )
 
+    def _group_target(self, group: ListedGroup) -> GroupTarget:
+        head = self.fleet.get(group.head)
+        data_centre = DataCentre("") if head is None else head.data_centre
+        return GroupTarget(
+            group.id, group.epoch, group.model, group.head, group.head_address, data_centre
+        )
+
     def _own_servers(self) -> tuple[PlainServerTarget, ...]:
         return tuple(
             PlainServerTarget(
--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -103,8 +103,8 @@
         Called at the first answer after one or more failures, with the seconds that have
         passed since the last failure.
     is_wanted : callable
-        Whether the topic is to be followed at present. While it is not, nothing is read
-        once the snapshot is complete.
+        Whether the topic is to be followed at present. While it is not, nothing is read,
+        but a snapshot that was begun is completed.
     wait_s : callable
         Returns how many seconds the store may hold back a read until a record arrives.
 
@@ -160,7 +160,7 @@
             self.known_until = max(self.known_until, at)
 
     def _send_read(self) -> None:
-        if self._state is _FeedState.TAIL and not self._is_wanted():
+        if self._snapshot_end is None and not self._is_wanted():
             self._clock.after(IDLE_CHECK_INTERVAL_S, self._send_read)
             return
         self._requested_at = self._clock.now()
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -90,7 +90,7 @@
     with_room: list[ServerChoice] = []
     without_room: list[ServerChoice] = []
     for group in usable_groups:
-        load = state.load_tracker.total_load(group.head, now)
+        load = state.load_tracker.total_load(group.head)
         expected = expected_first_event_s(
             engine, spec, request_size, load.in_flight, load.unread_tokens
         )
@@ -146,7 +146,7 @@
             continue
         if state.is_avoided(server, now):
             continue
-        load = state.load_tracker.total_load(server, now)
+        load = state.load_tracker.total_load(server)
         full = state.load_tracker.is_full(server, now)
         has_room = not full and load.in_flight < target.slots + MAX_QUEUED_PER_SERVER
         is_remote = target.data_centre != state.settings.data_centre
--- a/briarpond/platform/_settings.py
+++ b/briarpond/platform/_settings.py
@@ -116,6 +116,8 @@
         Whether the whole system starts for the first time. Otherwise an outage of the
         store may have ended just before the instance list is first read, with
         entries still missing.
+    seed_hosts : tuple of str
+        Hosts of a few other nodes, some of which may be down.
     """
 
     node: NodeId
@@ -128,6 +130,7 @@
     store: StoreSettings
     bounds: BoundSettings
     first_start: bool = False
+    seed_hosts: tuple[str, ...] = ()
 
 
 class _Listen(msgspec.Struct):
@@ -173,6 +176,8 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     # Whether the whole system starts for the first time.
     bootstrap: bool = False
+    # Addresses of a few nodes; only their hosts are used.
+    seeds: list[str] = msgspec.field(default_factory=list)
 
 
 def load_gateway_settings(path: Path) -> Result[GatewaySettings, SettingsProblem]:
@@ -241,4 +246,5 @@
             directory_ttl_max_s=bounds.ttl_max_s,
         ),
         first_start=file.bootstrap,
+        seed_hosts=tuple(Address.parse(seed).host for seed in file.seeds),
     )
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -1,104 +1,127 @@
-"""Codec of heartbeats, directory of nodes, and candidates for the planner's lease."""
+"""Codec of the datagrams, table of members, versions of the plan, and sums of loads."""
 
 import random
 
 import msgspec
+import pytest
 
 from briarpond.directory import (
-    ConfigConfirmation,
+    LOAD_LIFETIME_S,
+    Answer,
+    ConfigStatus,
     GroupTarget,
-    Heartbeat,
-    HeartbeatTable,
+    Load,
+    Member,
+    MemberTable,
     ModelDemand,
+    Notice,
+    PeerSync,
     PlainServerTarget,
-    Plan,
+    PlanDelta,
+    PlanLog,
+    PlanStatus,
+    PlanVersion,
+    Pull,
     RoutingTargets,
     ServerInFlight,
+    SyncCallbacks,
     decode_datagram,
-    decode_heartbeat,
-    encode_confirmation,
-    encode_heartbeat,
+    encode_datagram,
 )
+from briarpond.directory._sync import subtract_load, sum_loads
 from briarpond.net import Address
 
+GROUP = GroupTarget("g", 3000001, "m", "i", Address("10.0.0.2", 81), "a")
+SERVER = PlainServerTarget("p", "desk", Address("10.0.0.3", 82), "a", 6)
+LOAD = Load((ServerInFlight("i", 3, 400),), (ModelDemand("m", 1.5),))
 
-def heartbeat(node, data_centre="a", ready=True, leaving=False):
-    return Heartbeat(node, Address("10.0.0.1", 80), data_centre, ready, leaving)
 
+def member(node, data_centre="a", ready=True, leaving=False, **fields):
+    return Member(node, 5, 1, Address(f"10.0.0.{node}", 80), data_centre, ready, leaving, **fields)
 
-def test_heartbeat_round_trip():
-    sent = Heartbeat(
-        "n1",
-        Address("10.0.0.1", 80),
-        "a",
-        True,
-        False,
-        (ServerInFlight("i", 3, 400),),
-        (ModelDemand("m", 1.5),),
-        ("i",),
-        Plan(
-            3,
-            9,
-            True,
-            RoutingTargets(
-                (GroupTarget("g", 3000001, "m", "i", Address("10.0.0.2", 81)),),
-                (PlainServerTarget("p", "desk", Address("10.0.0.3", 82), "a", 6),),
-            ),
-        ),
+
+DELTA = PlanDelta(PlanVersion(3, 9), 7, (GROUP,), (SERVER,), ("group/x",))
+MESSAGES = [
+    Pull(member("1"), 123, 5, 9, PlanVersion(3, 8), 4, LOAD),
+    Answer(
+        member("1"),
+        123,
+        5,
+        9,
         True,
-    )
-    assert decode_heartbeat(encode_heartbeat(sent)).ok == sent
-    repeated = msgspec.structs.replace(sent, plan=Plan(3, 9, False, None))
-    assert decode_heartbeat(encode_heartbeat(repeated)).ok == repeated
+        (member("2", gone=True),),
+        {"a": 0.25},
+        LOAD,
+        PlanStatus(PlanVersion(3, 9), 0.5, float("inf"), "1"),
+        DELTA,
+        ConfigStatus(7, 1.25),
+    ),
+    Answer(member("1"), 123, 5, 9, False, (), {}, None, None, None, None),
+    Notice(member("1"), ("i",), 7, PlanStatus(PlanVersion(3, 9), 0.0, 0.5, "1"), DELTA, True),
+]
 
 
-def test_confirmation_round_trip_and_unknown_tags():
-    confirmation = ConfigConfirmation(123456, 7, 40)
-    assert decode_datagram(encode_confirmation(confirmation)).ok == confirmation
-    assert decode_datagram(encode_heartbeat(heartbeat("n1"))).ok.node == "n1"
-    for data in (b"", b"?", b"E", b"X" + encode_confirmation(confirmation)):
-        assert decode_datagram(data).is_error()
+@pytest.mark.parametrize("message", MESSAGES)
+def test_datagram_round_trip(message):
+    assert decode_datagram(encode_datagram(message)).ok == message
 
 
-def test_truncated_heartbeats_are_errors():
-    data = encode_heartbeat(heartbeat("n1"))
+@pytest.mark.parametrize("message", MESSAGES)
+def test_truncated_datagrams_are_errors(message):
+    data = encode_datagram(message)
     for end in range(len(data) - 1):
-        assert decode_heartbeat(data[:end]).is_error()
+        assert decode_datagram(data[:end]).is_error()
+
+
+def test_unknown_tags_are_errors():
+    for data in (b"", b"?", b"E", b"X" + encode_datagram(MESSAGES[0])):
+        assert decode_datagram(data).is_error()
+
+
+def test_random_bytes_never_raise():
+    rng = random.Random(5)
+    data = encode_datagram(MESSAGES[1])
+    for _ in range(3000):
+        changed = bytearray(data)
+        for _ in range(rng.randint(1, 4)):
+            changed[rng.randrange(1, len(changed))] = rng.randrange(256)
+        decode_datagram(bytes(changed))
+
+
+def table_with(own, *members, at=10.0):
+    table = MemberTable(own)
+    for each in members:
+        table.heard(each, at)
+    return table
 
 
 def test_addresses_leave_out_silent_leaving_and_unready_nodes():
-    table = HeartbeatTable("own")
-    table.record(heartbeat("far", "b"), 10.0)
-    table.record(heartbeat("near", "a"), 10.0)
-    table.record(heartbeat("silent"), 8.0)
-    table.record(heartbeat("leaving", leaving=True), 10.0)
-    table.record(heartbeat("cold", ready=False), 10.0)
-    own = heartbeat("own", ready=False)
-    assert len(table.addresses(own, "a", random.Random(1), 10.5)) == 2
+    table = table_with(
+        member("1", ready=False),
+        member("2", "b"),
+        member("3"),
+        member("5", leaving=True),
+        member("6", ready=False),
+    )
+    table.heard(member("4"), 8.0)
+    assert len(table.addresses("a", random.Random(1), 10.5)) == 2
     assert table.count_nodes(10.5) == 5
 
 
 def test_only_max_candidates_nodes_apply_for_the_lease():
-    tables = {name: HeartbeatTable(name) for name in "abcdefgh"}
-    for table in tables.values():
-        for name in tables:
-            table.record(heartbeat(name), 10.0)
-    assert [name for name, table in tables.items() if table.should_apply(3, 10.1)] == [
-        "a",
-        "b",
-        "c",
-    ]
+    names = "123456789"
+    tables = {
+        name: table_with(member(name), *(member(each) for each in names if each != name))
+        for name in names
+    }
+    applying = [name for name, table in tables.items() if table.should_apply(3, 10.1)]
+    assert applying == ["1", "2", "3"]
 
 
 def test_next_node_applies_when_a_candidate_is_lost():
-    table = HeartbeatTable("d")
-    for name in "abc":
-        table.record(msgspec.structs.replace(heartbeat(name), candidate=name != "b"), 10.0)
-    assert not table.should_apply(3, 10.1)
-    table = HeartbeatTable("d")
-    for name in "ac":
-        table.record(msgspec.structs.replace(heartbeat(name), candidate=True), 10.0)
-    assert table.should_apply(3, 10.1)
+    others = [member("1", candidate=True), member("2"), member("3", candidate=True)]
+    assert not table_with(member("4"), *others).should_apply(3, 10.1)
+    assert table_with(member("4"), others[0], others[2]).should_apply(3, 10.1)
 
 
 def test_store_counts_as_unreachable_only_if_no_live_node_is_a_candidate():
@@ -106,20 +129,138 @@
 
     A planner whose lease had expired went on while another node held the lease.
     """
-    table = HeartbeatTable("own")
-    for name in "abcd":
-        table.record(heartbeat(name), 10.0)
+    table = table_with(member("9"), *(member(name) for name in "1234"))
     assert table.no_node_reaches_store(10.5)
-    table.record(msgspec.structs.replace(heartbeat("b"), candidate=True), 10.5)
+    table.heard(msgspec.structs.replace(member("2"), revision=2, candidate=True), 10.5)
     assert not table.no_node_reaches_store(10.6)
 
 
 def test_suspended_or_isolated_node_does_not_conclude_that_store_is_unreachable():
-    table = HeartbeatTable("own")
-    for name in "abcd":
-        table.record(heartbeat(name), 10.0)
+    table = table_with(member("9"), *(member(name) for name in "1234"))
     assert not table.no_node_reaches_store(14.0)
-    table.record(heartbeat("a"), 14.0)
+    table.heard(member("1"), 14.0)
     assert not table.no_node_reaches_store(14.1)
-    table.record(heartbeat("b"), 14.0)
+    table.heard(member("2"), 14.0)
     assert table.no_node_reaches_store(14.1)
+
+
+def test_node_refutes_that_it_is_gone():
+    table = MemberTable(member("1"))
+    reported = msgspec.structs.replace(table.own, gone=True)
+    table.merge(reported, 10.0)
+    assert not table.own.gone
+    assert (table.own.incarnation, table.own.revision) > (reported.incarnation, reported.revision)
+
+
+def test_late_description_does_not_bring_a_node_back():
+    """A description that was under way when its node was marked as gone changes nothing."""
+    table = table_with(member("1"), member("2"))
+    table.merge(member("2", gone=True), 10.1)
+    table.merge(member("2"), 10.2)
+    assert not table.is_live("2", 10.2)
+    table.merge(msgspec.structs.replace(member("2"), incarnation=6), 10.3)
+    table.vouch("a", 10.3)
+    assert table.is_live("2", 10.3)
+
+
+def test_changes_are_told_once_and_in_parts():
+    table = table_with(member("1"), *(member(str(n)) for n in range(2, 9)))
+    first, cursor, more = table.changes_since(0, 5)
+    assert len(first) == 5 and more
+    rest, cursor, more = table.changes_since(cursor, 5)
+    assert {each.node for each in (*first, *rest)} == set("12345678") and not more
+    assert table.changes_since(cursor, 5)[0] == []
+    table.update_own(ready=False)
+    assert [each.node for each in table.changes_since(cursor, 5)[0]] == ["1"]
+
+
+def targets(*names):
+    return RoutingTargets(
+        tuple(GroupTarget(name, 1, "m", name, Address("10.0.0.9", 1)) for name in names), (SERVER,)
+    )
+
+
+def test_plan_log_brings_any_older_version_up_to_date():
+    planner, follower = PlanLog(), PlanLog()
+    versions = [("a", "b"), ("a", "c"), ("c",), ("c", "d", "b")]
+    logs = [PlanLog()]
+    for names in versions:
+        assert planner.publish(4, targets(*names))
+        follower.apply(planner.delta_since(follower.version))
+        late = PlanLog()
+        late.apply(planner.delta_since(PlanVersion()))
+        logs.append(late)
+    for log in (*logs, follower):
+        log.apply(planner.delta_since(log.version) or DELTA)
+        assert set(log.targets.groups) == set(planner.targets.groups)
+        assert log.version == planner.version
+
+
+def test_plan_delta_with_a_gap_is_not_applied():
+    planner, follower = PlanLog(), PlanLog()
+    planner.publish(4, targets("a"))
+    follower.apply(planner.delta_since(PlanVersion()))
+    planner.publish(4, targets("a", "b"))
+    missed = planner.version
+    planner.publish(4, targets("b"))
+    assert not follower.apply(planner.delta_since(missed))
+    assert follower.version == PlanVersion(4, 1)
+    assert follower.apply(planner.delta_since(follower.version))
+    assert {each.group for each in follower.targets.groups} == {"b"}
+
+
+def test_plan_of_earlier_term_is_not_applied():
+    old, new, follower = PlanLog(), PlanLog(), PlanLog()
+    old.publish(4, targets("a"))
+    new.publish(5, targets("b"))
+    follower.apply(new.delta_since(PlanVersion()))
+    assert not follower.apply(old.delta_since(PlanVersion()))
+
+
+def test_publishing_the_same_rows_in_other_order_is_no_new_version():
+    planner = PlanLog()
+    assert planner.publish(4, targets("a", "b"))
+    assert not planner.publish(4, targets("b", "a"))
+
+
+def test_relayed_sum_without_own_part_is_the_load_of_the_others():
+    other = Load((ServerInFlight("i", 2, 100), ServerInFlight("j", 1, 0)), ())
+    assert sum_loads([LOAD, other]).servers[0] == ServerInFlight("i", 5, 500)
+    assert set(subtract_load(sum_loads([LOAD, other]), LOAD).servers) == set(other.servers)
+
+
+def make_sync(own, on_load):
+    nothing = SyncCallbacks(
+        own_load=lambda now: Load(),
+        plan_status=lambda now: None,
+        config_status=lambda now: None,
+        on_plan=lambda status, at: None,
+        on_config=lambda status, at: None,
+        on_config_version=lambda version: None,
+        on_load=on_load,
+        on_stalled=lambda servers: None,
+        on_members=lambda appeared, gone: None,
+    )
+    return PeerSync(own, nothing, random.Random(1), 10.0)
+
+
+def test_load_of_another_node_is_dropped_when_it_is_not_repeated():
+    loads = {}
+    sync = make_sync(member("1"), loads.__setitem__)
+    sync.on_pull(Pull(member("2"), 1, 0, 0, PlanVersion(), 0, LOAD), 10.0)
+    assert loads == {"node/2": LOAD}
+    sync.housekeep(10.5)
+    assert loads == {"node/2": LOAD}
+    sync.housekeep(10.1 + LOAD_LIFETIME_S)
+    assert loads == {"node/2": Load()}
+
+
+def test_answer_to_an_earlier_pull_is_ignored():
+    """A node that was suspended must not take old answers for present knowledge."""
+    sync = make_sync(member("1"), lambda source, load: None)
+    sync.add_contacts(["10.0.0.2"])
+    outgoing, _ = sync.next_pull(10.0)
+    answer = make_sync(member("2"), lambda source, load: None).on_pull(outgoing.message, 20.0)[0]
+    sync.next_pull(10.3)
+    sync.on_answer(answer.message, 10.31)
+    assert not sync.is_connected(10.31)
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -66,23 +66,23 @@
         assert retries_in_window <= ratio * requests_in_window + slack
 
 
-def test_load_of_other_nodes_counts_until_it_expires_or_is_withdrawn():
+def test_load_of_other_nodes_counts_until_it_is_replaced():
     tracker = LoadTracker()
     tracker.record_sent("s", 500)
-    tracker.set_peer_load("n2", [("s", 3, 900)], 10.0)
-    assert (
-        tracker.total_load("s", 10.5).in_flight,
-        tracker.total_load("s", 10.5).unread_tokens,
-    ) == (
-        4,
-        1400,
-    )
-    assert tracker.total_load("s", 12.0).in_flight == 1
-    tracker.set_peer_load("n2", [], 10.6)
-    assert tracker.total_load("s", 10.7).in_flight == 1
+    tracker.set_peer_load("n2", [("s", 3, 900)])
+    tracker.set_peer_load("n3", [("s", 1, 0)])
+    total = tracker.total_load("s")
+    assert (total.in_flight, total.unread_tokens) == (5, 1400)
+    tracker.set_peer_load("n2", [("s", 2, 0)])
+    assert tracker.total_load("s").in_flight == 4
+    tracker.set_peer_load("n2", [])
+    tracker.set_peer_load("n3", [])
+    assert tracker.total_load("s").in_flight == 1
     tracker.record_first_event("s", 500)
     tracker.record_end("s")
-    assert tracker.total_load("s", 10.7).in_flight == 0
+    assert tracker.total_load("s").in_flight == 0
+    tracker.prune(set())
+    assert tracker.total_load("s").in_flight == 0
 
 
 def test_full_group_has_a_later_expected_first_event():
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -4,10 +4,9 @@
 
 import pytest
 
+from briarpond.directory import RELAY_INTERVAL_S
 from briarpond.gateway._node import PLANNER_READ_PAUSE_S, PLANNER_READ_WAIT_S
-from briarpond.gateway._peers import HEARTBEAT_INTERVAL_S
-from briarpond.gateway._planner_link import LIST_MAX_AGE_S
-from briarpond.gateway._state import PLAN_LIFETIME_S
+from briarpond.gateway._state import plan_lifetime_s
 from briarpond.gateway._store_link import IDLE_CHECK_INTERVAL_S, TopicFeed
 
 from .world import VirtualClock
@@ -42,7 +41,9 @@
     record = b"\x03key" + b"value"
     store.on_answer(200, struct.pack(">QQ", 1, 0) + struct.pack(">I", len(record)) + record)
     clock.advance(PLANNER_READ_PAUSE_S + PLANNER_READ_WAIT_S)
-    assert feed.age(clock.now()) < LIST_MAX_AGE_S
+    # Other nodes add the intervals of their pulls: one hop with few nodes, else two.
+    assert feed.age(clock.now()) + 1.1 * RELAY_INTERVAL_S < plan_lifetime_s(DRAIN_BOUND_S)
+    assert feed.age(clock.now()) + 2.2 * RELAY_INTERVAL_S < plan_lifetime_s(3.0)
     store.on_answer(200, struct.pack(">QQ", 1, 0))
     assert feed.age(clock.now()) < 0.1
 
@@ -81,6 +82,5 @@
     A server once got a request 2,053 ms after its departure, because the planner's
     connection to the store hung and the other nodes relied on its list for too long.
     """
-    heartbeat_s = HEARTBEAT_INTERVAL_S * 1.1
-    assert LIST_MAX_AGE_S + heartbeat_s + IDLE_CHECK_INTERVAL_S + STORE_READ_S < DRAIN_BOUND_S
-    assert PLAN_LIFETIME_S + IDLE_CHECK_INTERVAL_S + STORE_READ_S < DRAIN_BOUND_S
+    for bound_s in (DRAIN_BOUND_S, 3.0, 4.0):
+        assert plan_lifetime_s(bound_s) + IDLE_CHECK_INTERVAL_S + STORE_READ_S < bound_s
--- a/tests/gateway/test_heavy_load.py
+++ b/tests/gateway/test_heavy_load.py
@@ -37,7 +37,7 @@
 def test_group_filled_by_another_node_gets_no_requests(tmp_path):
     """All nodes must not send to the same group that looks best to each of them."""
     gateway = Gateway(tmp_path)
-    gateway.state.load_tracker.set_peer_load("n2", [("h1", GROUP_SLOTS, 0)], gateway.clock.now())
+    gateway.state.load_tracker.set_peer_load("n2", [("h1", GROUP_SLOTS, 0)])
     for _ in range(10):
         gateway.send_stream_request()
     heads = {sent.header("x-briarpond-expect-instance") for sent in gateway.client.sent}
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from briarpond.directory import Plan, PlanLog, RoutingTargets
 from briarpond.fleet import FleetView
 from briarpond.gateway._planner_link import PlannerRunner
 
@@ -19,10 +20,10 @@
     lease = SimpleNamespace(
         term=7, held_since=now, holds=lambda now: True, expired_while_held=lambda now: False
     )
-    heartbeat_link = SimpleNamespace(
-        heartbeats=SimpleNamespace(live=lambda now: []), send_now=lambda: None
-    )
-    runner = PlannerRunner(state, lease, heartbeat_link, gateway.clock.now)
+    sync = SimpleNamespace(demand=lambda now: (), plan_log=PlanLog())
+    gateway.announced = []
+    peers = SimpleNamespace(sync=sync, announce=lambda delta: gateway.announced.append(delta))
+    runner = PlannerRunner(state, lease, peers, gateway.clock.now)
     return gateway, runner
 
 
@@ -63,18 +64,32 @@
     assert step_after(node, 0.6)
 
 
-def test_full_plan_is_due_until_a_heartbeat_was_sent_with_it(node):
-    """Only a heartbeat that is sent resets the interval of full plans.
-
-    Look-ups of addresses once reset it too. The other nodes then missed the full plan and
-    followed the instance list themselves.
-    """
+def test_plan_is_announced_once_for_each_change(node):
+    """Steps without a change send nothing; other nodes learn of a lost notice by their pulls."""
     gateway, runner = node
     assert step_after(node, 0.5)
-    gateway.clock.time += 1.4
-    now = gateway.clock.now()
-    assert runner.plan(now).targets is not None
-    assert runner.plan(now + 0.01).targets is not None
-    runner.mark_sent(now + 0.01)
-    assert runner.plan(now + 0.02).targets is None
-    assert runner.plan(now + 1.3).targets is not None
+    assert len(gateway.announced) == 1
+    assert step_after(node, 0.1)
+    assert len(gateway.announced) == 1
+    gateway.state.fleet.remove("p0", gateway.clock.now())
+    assert step_after(node, 0.1)
+    assert gateway.announced[1].removed == ("server/p0",)
+
+
+def test_new_holder_of_the_lease_publishes_listed_groups_before_it_may_plan(node):
+    """After a restart of all nodes the list is read by one of them, not by each."""
+    gateway, runner = node
+    gateway.state.plan = None
+    gateway.state.fleet.outage_ended(gateway.clock.now())
+    assert not step_after(node, 0.1)
+    assert {each.instance for each in gateway.announced[0].servers} == {"p0", "p1", "p2"}
+    assert runner.publishes(gateway.clock.now())
+
+
+def test_new_holder_of_the_lease_leaves_a_plan_in_force_alone(node):
+    """The previous planner's plan leaves out heads that are lost but still listed."""
+    gateway, _ = node
+    gateway.state.fleet.outage_ended(gateway.clock.now())
+    gateway.state.accept_plan(Plan(6, 1, True, RoutingTargets()), gateway.clock.now())
+    assert not step_after(node, 0.1)
+    assert not gateway.announced
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -138,7 +138,7 @@
     reply.ended = True
     reply.on_disconnect()
     assert gateway.client.sent[0].cancelled and gateway.ingress.in_flight == 0
-    assert gateway.state.load_tracker.total_load("h1", gateway.clock.now()).in_flight == 0
+    assert gateway.state.load_tracker.total_load("h1").in_flight == 0
 
 
 def test_route_timeout_ends_request_with_504(gateway):
