Nodes pass the configuration on to each other and prefer few groups each

Change: nodes fetch a newer configuration over HTTP from the node that told them of it, with the age of that copy, and read the store only if nobody delivers within 1 s. At the first start of the system nodes wait for the planner instead of reading the list. Each node prefers a few groups in an order of its own, those of its data centre first, and goes on to the others when the preferred ones are full. With few nodes all groups are preferred, as before.

--- a/briarpond/directory/__init__.py
+++ b/briarpond/directory/__init__.py
@@ -1,9 +1,16 @@
 """Exchange of state between nodes, and the directory of nodes for callers."""
 
-from ._codec import Datagram, decode_datagram, encode_datagram
+from ._codec import (
+    Datagram,
+    decode_config_record,
+    decode_datagram,
+    encode_config_record,
+    encode_datagram,
+)
 from ._members import MemberTable
 from ._models import (
     Answer,
+    ConfigRecord,
     ConfigStatus,
     GroupTarget,
     Load,
@@ -29,6 +36,7 @@
     "PAUSE_S",
     "RELAY_INTERVAL_S",
     "Answer",
+    "ConfigRecord",
     "ConfigStatus",
     "Datagram",
     "GroupTarget",
@@ -49,6 +57,8 @@
     "RoutingTargets",
     "ServerInFlight",
     "SyncCallbacks",
+    "decode_config_record",
     "decode_datagram",
+    "encode_config_record",
     "encode_datagram",
 ]
--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -11,6 +11,7 @@
 
 from ._models import (
     Answer,
+    ConfigRecord,
     ConfigStatus,
     GroupTarget,
     Load,
@@ -70,6 +71,25 @@
         return Error(repr(exc))
 
 
+def encode_config_record(record: ConfigRecord) -> bytes:
+    """Return the bytes with which a node passes on the record of the configuration."""
+    buffer = TMemoryBuffer()
+    wire = ttypes.ConfigRecord(record.offset, _age_ms(record.age_s), record.value)
+    wire.write(TCompactProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def decode_config_record(data: bytes) -> Result[ConfigRecord, str]:
+    """Read what `encode_config_record` returned; the error describes what cannot be read."""
+    wire = ttypes.ConfigRecord()
+    try:
+        wire.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
+        wire.validate()
+        return Ok(ConfigRecord(wire.offset, _age_s(wire.age_ms), wire.value))
+    except _MALFORMED as exc:
+        return Error(repr(exc))
+
+
 def _validate(wire) -> None:
     """Check the required fields of a struct and of the structs in it."""
     wire.validate()
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -214,6 +214,24 @@
     age_s: float
 
 
+class ConfigRecord(msgspec.Struct, frozen=True):
+    """Record of the configuration in the store, as one node passes it to another.
+
+    Attributes
+    ----------
+    offset : int
+        Offset of the record in its topic.
+    age_s : float
+        Seconds since it was certainly the newest.
+    value : bytes
+        Value of the record, compressed while it is under way.
+    """
+
+    offset: int
+    age_s: float
+    value: bytes
+
+
 class Member(msgspec.Struct, frozen=True):
     """A node of the system, as it describes itself.
 
--- a/briarpond/directory/_sync.py
+++ b/briarpond/directory/_sync.py
@@ -84,7 +84,7 @@
     on_config : callable
         Takes the status of another node's configuration and the time at which it was true.
     on_config_version : callable
-        Takes the version of a configuration that exists.
+        Takes the version of another node's configuration, and the host of that node.
     on_load : callable
         Takes the name of a source and the load that it reported, which replaces the
         previous one of the same source; an empty load means that it is outdated.
@@ -99,7 +99,7 @@
     config_status: Callable[[float], ConfigStatus | None]
     on_plan: Callable[[PlanStatus, float], None]
     on_config: Callable[[ConfigStatus, float], None]
-    on_config_version: Callable[[int], None]
+    on_config_version: Callable[[int, str], None]
     on_load: Callable[[str, Load], None]
     on_stalled: Callable[[tuple[InstanceId, ...]], None]
     on_members: Callable[[list[NodeId], list[NodeId]], None]
@@ -272,7 +272,7 @@
         if sender.data_centre == own.data_centre:
             self._set_load(f"node/{sender.node}", pull.load, now)
         if pull.config_version:
-            self._callbacks.on_config_version(pull.config_version)
+            self._callbacks.on_config_version(pull.config_version, sender.caller_address.host)
         cursor = pull.cursor if pull.table == own.incarnation else 0
         members, position, more = self.members.changes_since(cursor, MAX_MEMBERS_PER_ANSWER)
         answer = Answer(
@@ -323,7 +323,7 @@
         self._learn_load(answer, pending.load, now)
         self._learn_plan(answer.plan, answer.delta, pending.sent_at)
         if answer.config is not None:
-            self._callbacks.on_config_version(answer.config.version)
+            self._callbacks.on_config_version(answer.config.version, host)
             self._callbacks.on_config(answer.config, pending.sent_at - answer.config.age_s)
         self._report(appeared, [], now)
         return [self._pull(host, now)] if answer.more else []
@@ -390,7 +390,9 @@
         """Take over a notice; return the notices with which a relay passes it on."""
         self._hear(notice.sender, now)
         if notice.config_version:
-            self._callbacks.on_config_version(notice.config_version)
+            self._callbacks.on_config_version(
+                notice.config_version, notice.sender.caller_address.host
+            )
         known = self.plan_log.version
         if notice.delta is not None:
             self.plan_log.apply(notice.delta)
--- a/briarpond/directory/beats.thrift
+++ b/briarpond/directory/beats.thrift
@@ -129,3 +129,10 @@
   5: optional PlanDelta delta,
   6: required bool relayed
 }
+
+/** The operator's configuration as it stands in the store, and how old the copy may be. */
+struct ConfigRecord {
+  1: required i64 offset,
+  2: required i32 age_ms,
+  3: required binary value
+}
--- a/briarpond/directory/gen/beats/ttypes.py
+++ b/briarpond/directory/gen/beats/ttypes.py
@@ -1612,6 +1612,93 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ConfigRecord(object):
+    """
+    The operator's configuration as it stands in the store, and how old the copy may be.
+
+    Attributes:
+     - offset
+     - age_ms
+     - value
+
+    """
+
+
+    def __init__(self, offset=None, age_ms=None, value=None,):
+        self.offset = offset
+        self.age_ms = age_ms
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigRecord')
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 1)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.value is None:
+            raise TProtocolException(message='Required field value is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(ServerRow)
 ServerRow.thrift_spec = (
     None,  # 0
@@ -1734,5 +1821,12 @@
     (5, TType.STRUCT, 'delta', [PlanDelta, None], None, ),  # 5
     (6, TType.BOOL, 'relayed', None, None, ),  # 6
 )
+all_structs.append(ConfigRecord)
+ConfigRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'offset', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -7,11 +7,13 @@
 from ._pace import EventGapTracker
 from ._recovery import RecoveryAction, SendFailure, SendProgress, decide_recovery
 from ._speed import RequestSize, expected_first_event_s, slot_occupancy_s
+from ._subset import GroupPreferences, subset_size
 
 __all__ = [
     "AdmissionAction",
     "AdmissionDecision",
     "EventGapTracker",
+    "GroupPreferences",
     "InFlightLoad",
     "LoadTracker",
     "RecoveryAction",
@@ -24,4 +26,5 @@
     "decide_recovery",
     "expected_first_event_s",
     "slot_occupancy_s",
+    "subset_size",
 ]
--- /dev/null
+++ b/briarpond/gateway/_config_exchange.py
@@ -0,0 +1,124 @@
+"""Passing of the configuration from node to node, so that few nodes read it from the store."""
+
+import zlib
+from collections.abc import Callable
+
+from briarpond.directory import ConfigRecord, decode_config_record, encode_config_record
+from briarpond.logs import log_event, log_warning
+from briarpond.net import Address, Clock, HttpClient, HttpReply, HttpRequest, LossReason
+
+CONFIG_PATH = "/configuration"
+# Timeout of a fetch from another node. A node whose fetches fail for longer than PATIENCE_S
+# reads the store.
+FETCH_TIMEOUT_S = 0.8
+PATIENCE_S = 1.0
+# The records are JSON with much repetition; the fastest level makes them small enough.
+COMPRESSION_LEVEL = 1
+# Largest configuration that is accepted, uncompressed.
+MAX_RECORD_BYTES = 8 * 1024 * 1024
+
+
+class ConfigExchange:
+    """Serves the record of the configuration in force to other nodes, and fetches theirs.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    client : HttpClient
+        Client for calls to other nodes.
+    port : int
+        TCP port at which all nodes serve the record.
+    age : callable
+        Takes the present time; returns the seconds since the configuration in force was
+        certainly the newest, None if it is not known.
+    on_record : callable
+        Takes a fetched record and the time up to which it was the newest.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        client: HttpClient,
+        port: int,
+        age: Callable[[float], float | None],
+        on_record: Callable[[ConfigRecord, float], None],
+    ) -> None:
+        self._clock = clock
+        self._client = client
+        self._port = port
+        self._age = age
+        self._on_record = on_record
+        self._offset = 0
+        self._compressed: bytes | None = None
+        self._is_fetching = False
+        self._wanted_version = 0
+        self._wanted_since = float("-inf")
+
+    def set_record(self, offset: int, value: bytes) -> None:
+        """Serve this record of the configuration from now on."""
+        self._offset = offset
+        self._compressed = zlib.compress(value, COMPRESSION_LEVEL)
+
+    def answer(self, request: HttpRequest, reply: HttpReply) -> None:
+        """Answer another node's request for the record."""
+        age = self._age(self._clock.now())
+        if request.target != CONFIG_PATH or self._compressed is None or age is None:
+            reply.send_whole(404, (), b"")
+            return
+        record = ConfigRecord(self._offset, age, self._compressed)
+        reply.send_whole(200, (), encode_config_record(record))
+
+    def fetch(self, version: int, host: str) -> None:
+        """Fetch a version that another node has, unless a fetch is under way."""
+        now = self._clock.now()
+        if version > self._wanted_version:
+            self._wanted_version = version
+            self._wanted_since = now
+        if self._is_fetching:
+            return
+        self._is_fetching = True
+        self._client.fetch(
+            Address(host, self._port),
+            "GET",
+            CONFIG_PATH,
+            (),
+            b"",
+            FETCH_TIMEOUT_S,
+            lambda status, body: self._on_answer(now, status, body),
+            self._on_failure,
+        )
+
+    def may_deliver(self, now: float) -> bool:
+        """Whether a newer configuration may still arrive from another node."""
+        return now - self._wanted_since < PATIENCE_S
+
+    def _on_answer(self, requested_at: float, status: int, body: bytes) -> None:
+        self._is_fetching = False
+        if status != 200:
+            return
+        record = decode_config_record(body)
+        if record.is_error():
+            log_warning("config_record_malformed", error=record.error)
+            return
+        value = _decompress(record.ok.value)
+        if value is None:
+            log_warning("config_record_malformed", error="not decompressed")
+            return
+        log_event("config_fetched", offset=record.ok.offset, bytes=len(body))
+        newest_at = requested_at - record.ok.age_s
+        self._on_record(ConfigRecord(record.ok.offset, record.ok.age_s, value), newest_at)
+
+    def _on_failure(self, reason: LossReason) -> None:
+        self._is_fetching = False
+        log_warning("config_not_fetched", reason=reason.value)
+
+
+def _decompress(data: bytes) -> bytes | None:
+    """Return decompressed data; None if it is malformed or too large."""
+    decompressor = zlib.decompressobj()
+    try:
+        value = decompressor.decompress(data, MAX_RECORD_BYTES)
+    except zlib.error:
+        return None
+    return value if decompressor.eof else None
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from briarpond.directory import (
+    ConfigRecord,
     ConfigStatus,
     Member,
     Plan,
@@ -37,6 +38,7 @@
 )
 from briarpond.routes import GatewayConfiguration, RouteTable
 
+from ._config_exchange import ConfigExchange
 from ._ingress import Ingress
 from ._lease import MAX_CANDIDATES, PlannerLease
 from ._peers import PeerLink
@@ -72,11 +74,13 @@
 MISSING_CHECK_INTERVAL_S = 0.2
 # How often a stopping node checks whether it is done.
 STOP_CHECK_INTERVAL_S = 0.05
-# How long a node that has just started waits for a plan from its peers before it reads the
-# instance list itself: this long for each node that it knows, so that a restart of many nodes
-# does not make all of them read the list.
-PLAN_WAIT_PER_NODE_S = 0.02
-MAX_PLAN_WAIT_S = 1.5
+# How long a node that has just started waits for the configuration and the plan from its peers
+# before it reads the store itself: this long for each node that it knows, so that a restart of
+# many nodes does not make all of them read the store.
+START_WAIT_PER_NODE_S = 0.02
+MAX_START_WAIT_S = 1.5
+# The same if the whole system starts for the first time: nobody has them then.
+FIRST_START_WAIT_S = 8.0
 # Share of `bounds.revoke_within_s` up to which the configuration may be old on a ready node. It is
 # less than KEYS_MAX_AGE_SHARE, so that callers are sent elsewhere before keys are refused.
 READY_MAX_AGE_SHARE = 0.6
@@ -134,6 +138,9 @@
         self._newest_config_version = 0
         self._store = StoreClient(settings.store.address, client)
         self._config_feed = self._make_config_feed()
+        self._config_exchange = ConfigExchange(
+            clock, client, settings.peer_port, self._config_feed.age, self._on_config_record
+        )
         self._instances_feed = TopicFeed(
             self._store,
             clock,
@@ -178,7 +185,8 @@
             )
         ]
         auxiliary_endpoints = {
-            settings.readiness_address: HttpServer(clock, self._answer_auxiliary)
+            settings.readiness_address: HttpServer(clock, self._answer_auxiliary),
+            peer_address: HttpServer(clock, self._config_exchange.answer),
         }
         if settings.directory_address is not None:
             auxiliary_endpoints.setdefault(
@@ -268,10 +276,17 @@
         """Whether this node must read the configuration from the store itself.
 
         A candidate for the lease always does. Another node does unless a candidate confirmed a
-        short time ago that its configuration is the newest.
+        short time ago that its configuration is the newest, or a newer one can be expected
+        from another node.
         """
         now = self._clock.now()
         config = self.state.config
+        if self._lease.is_candidate(now):
+            return True
+        if self._config_exchange.may_deliver(now):
+            return False
+        if config is None:
+            return now - self._started_at >= self._start_wait_s(now)
         age = self._config_feed.age(now)
         confirmed = (
             now - self._confirmed_at <= CONFIRMATION_LIFETIME_S
@@ -279,7 +294,7 @@
             and age < CONFIRMED_MAX_AGE_S
         )
         is_newest = config is not None and config.version >= self._newest_config_version
-        return self._lease.is_candidate(now) or not (confirmed and is_newest)
+        return not (confirmed and is_newest)
 
     def _config_wait_s(self) -> float:
         """Return for how many seconds the store may hold back a read of the configuration.
@@ -311,8 +326,16 @@
         if now - newest_at < CONFIRMED_MAX_AGE_S:
             self._confirmed_at = now
 
-    def _on_config_version(self, version: int) -> None:
+    def _on_config_version(self, version: int, host: str) -> None:
+        """Fetch a configuration that another node has if it is newer than the one here."""
         self._newest_config_version = max(self._newest_config_version, version)
+        config = self.state.config
+        if config is None or config.version < version:
+            self._config_exchange.fetch(version, host)
+
+    def _on_config_record(self, record: ConfigRecord, newest_at: float) -> None:
+        self._config_feed.adopt(record.offset + 1, newest_at)
+        self._apply_config(KeyedRecord(CONFIG_KEY, record.value, record.offset))
 
     def _on_config(self, entries: Sequence[KeyedRecord]) -> None:
         for entry in entries:
@@ -345,7 +368,9 @@
             tenants=len(config.tenants),
             offset=entry.offset,
         )
-        if self._lease.is_candidate(self._clock.now()):
+        self._config_exchange.set_record(entry.offset, entry.value)
+        now = self._clock.now()
+        if self._lease.is_candidate(now) or self._peers.sync.members.is_relay(now):
             self._peers.announce()
 
     # Instances
@@ -400,13 +425,16 @@
         now = self._clock.now()
         if self._planner.planning or self._lease.holds(now):
             return True
-        if self.state.plan is None and now - self._started_at < self._plan_wait_s(now):
+        if self.state.plan is None and now - self._started_at < self._start_wait_s(now):
             return False
         return self.state.needs_instance_list(now)
 
-    def _plan_wait_s(self, now: float) -> float:
-        node_count = self._peers.sync.members.count_nodes(now)
-        return min(MAX_PLAN_WAIT_S, PLAN_WAIT_PER_NODE_S * node_count)
+    def _start_wait_s(self, now: float) -> float:
+        """Return for how long after its start this node waits for what others know."""
+        sync = self._peers.sync
+        if self._settings.first_start and sync.is_connected(now):
+            return FIRST_START_WAIT_S
+        return min(MAX_START_WAIT_S, START_WAIT_PER_NODE_S * sync.members.count_nodes(now))
 
     def _instances_pause_s(self) -> float:
         is_planner = self._planner.planning or self._lease.holds(self._clock.now())
@@ -541,6 +569,6 @@
         state = self.state
         now = self._clock.now()
         state.node_count = self._peers.sync.members.count_nodes(now)
-        state.load_tracker.prune(
-            {listed_instance.id for listed_instance in state.fleet.all_instances()}
-        )
+        listed = {listed_instance.id for listed_instance in state.fleet.all_instances()}
+        state.load_tracker.prune(listed)
+        state.group_preferences.prune({target.head for target in state.groups(now)})
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -17,6 +17,7 @@
 )
 from briarpond.dispatch import (
     EventGapTracker,
+    GroupPreferences,
     LoadTracker,
     RequestSize,
     SharedRetryBudget,
@@ -74,6 +75,8 @@
         This node's own view of the instance list.
     load_tracker : LoadTracker
         Requests in flight at each backend server, from all nodes.
+    group_preferences : GroupPreferences
+        Order in which this node uses groups.
     event_gap_tracker : EventGapTracker
         Time between events of the streams of each head.
     leaving : bool
@@ -99,6 +102,7 @@
         self.route_table: RouteTable | None = None
         self.fleet = FleetView(settings.first_start)
         self.load_tracker = LoadTracker()
+        self.group_preferences = GroupPreferences(settings.node, settings.data_centre)
         self.event_gap_tracker = EventGapTracker()
         self.metrics = GatewayMetrics()
         self.leaving = False
--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -159,6 +159,25 @@
         if self.known_until is not None:
             self.known_until = max(self.known_until, at)
 
+    def adopt(self, offset: int, known_until: float) -> None:
+        """Take over a state of the topic that another node has read.
+
+        Parameters
+        ----------
+        offset : int
+            Offset of the first record that is not part of that state.
+        known_until : float
+            Time up to which the other node knew all changes.
+        """
+        if self._state is _FeedState.SNAPSHOT and self._snapshot_end is not None:
+            # The pages that are being read may be newer.
+            return
+        self._state = _FeedState.TAIL
+        self._offset = max(self._offset, offset)
+        if self.known_until is None:
+            self.known_until = known_until
+        self.confirm(known_until)
+
     def _send_read(self) -> None:
         if self._snapshot_end is None and not self._is_wanted():
             self._clock.after(IDLE_CHECK_INTERVAL_S, self._send_read)
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -5,10 +5,11 @@
 
 import msgspec
 
-from briarpond.dispatch import RequestSize, expected_first_event_s
+from briarpond.directory import GroupTarget
+from briarpond.dispatch import RequestSize, expected_first_event_s, subset_size
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.net import Address
-from briarpond.routes import EngineSpec, ModelName
+from briarpond.routes import EngineSpec, ModelName, ModelSpec
 
 from ._state import NodeState
 
@@ -17,11 +18,8 @@
 # Requests that a plain server may be sent beyond its slots.
 MAX_QUEUED_PER_SERVER = 6
 
-# A request goes to the best of a few groups that are drawn at random. In a system with more
-# than MANY_NODES nodes fewer are drawn, since more nodes choose by the same delayed loads.
-MANY_NODES = 20
-SAMPLE_IF_MANY_NODES = 2
-SAMPLE_IF_FEW_NODES = 4
+# A request goes to the best of this many groups.
+COMPARED_GROUPS = 4
 
 
 class ServerChoice(msgspec.Struct, frozen=True):
@@ -87,28 +85,33 @@
         and not state.has_left(group.head, now)
         and not state.is_avoided(group.head, now)
     ]
-    with_room: list[ServerChoice] = []
-    without_room: list[ServerChoice] = []
-    for group in usable_groups:
-        load = state.load_tracker.total_load(group.head)
-        expected = expected_first_event_s(
-            engine, spec, request_size, load.in_flight, load.unread_tokens
-        )
-        has_room = load.in_flight < engine.slots + MAX_QUEUED_PER_GROUP
-        has_room = has_room and not state.load_tracker.is_full(group.head, now)
-        choice = ServerChoice(group.head, group.address, expected, has_room)
-        (with_room if has_room else without_room).append(choice)
+    choices = [
+        _rate_group(state, engine, spec, request_size, group, now)
+        for group in state.group_preferences.sort(usable_groups)
+    ]
+    with_room = [choice for choice in choices if choice.has_room]
     if not with_room:
-        return min(without_room, key=lambda choice: choice.expected_s, default=None)
-    # All nodes see the same loads with a small delay. If each chose the best of all groups,
-    # that group would get the requests of all nodes at once.
-    sampled = state.rng.sample(with_room, min(len(with_room), sample_size(state.node_count)))
+        return min(choices, key=lambda choice: choice.expected_s, default=None)
+    preferred = with_room[: subset_size(len(usable_groups), state.node_count)]
+    sampled = state.rng.sample(preferred, min(len(preferred), COMPARED_GROUPS))
     return min(sampled, key=lambda choice: choice.expected_s)
 
 
-def sample_size(node_count: int) -> int:
-    """Return how many groups to compare for a request in a system of `node_count` nodes."""
-    return SAMPLE_IF_MANY_NODES if node_count > MANY_NODES else SAMPLE_IF_FEW_NODES
+def _rate_group(
+    state: NodeState,
+    engine: EngineSpec,
+    spec: ModelSpec,
+    request_size: RequestSize,
+    group: GroupTarget,
+    now: float,
+) -> ServerChoice:
+    load = state.load_tracker.total_load(group.head)
+    expected = expected_first_event_s(
+        engine, spec, request_size, load.in_flight, load.unread_tokens
+    )
+    has_room = load.in_flight < engine.slots + MAX_QUEUED_PER_GROUP
+    has_room = has_room and not state.load_tracker.is_full(group.head, now)
+    return ServerChoice(group.head, group.address, expected, has_room)
 
 
 def best_server(
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -236,7 +236,7 @@
         config_status=lambda now: None,
         on_plan=lambda status, at: None,
         on_config=lambda status, at: None,
-        on_config_version=lambda version: None,
+        on_config_version=lambda version, host: None,
         on_load=on_load,
         on_stalled=lambda servers: None,
         on_members=lambda appeared, gone: None,
--- a/tests/gateway/test_heavy_load.py
+++ b/tests/gateway/test_heavy_load.py
@@ -2,6 +2,9 @@
 
 from collections import Counter
 
+from briarpond.directory import GroupTarget, Plan, RoutingTargets
+from briarpond.net import Address
+
 from .world import STAMP_HEADER, Gateway
 
 GROUP_SLOTS = 9
@@ -42,3 +45,19 @@
         gateway.send_stream_request()
     heads = {sent.header("x-briarpond-expect-instance") for sent in gateway.client.sent}
     assert heads == {"h2", "h3"}
+
+
+def test_full_groups_of_own_data_centre_spill_over_before_a_refusal(tmp_path):
+    """A burst in one data centre is served by groups elsewhere while they have room."""
+    gateway = Gateway(tmp_path)
+    state, now = gateway.state, gateway.clock.now()
+    near, far = state.settings.data_centre, "elsewhere"
+    groups = tuple(
+        GroupTarget(f"g{n}", 1, "big", f"h{n}", Address("10.8.0.1", 80 + n), data_centre)
+        for n, data_centre in enumerate((near, near, far))
+    )
+    state.node_count = 195
+    state.accept_plan(Plan(9, 1, True, RoutingTargets(groups, ())), now)
+    state.load_tracker.set_peer_load("relays", [("h0", GROUP_SLOTS, 0), ("h1", GROUP_SLOTS, 0)])
+    gateway.send_stream_request()
+    assert gateway.client.sent[-1].call.address == groups[2].address
