Servers that send no answer, or send one without end, cost one request

Cause, shown by tests that failed first: any byte of a stream counted as progress, so one that sent comments or single bytes was never moved on; an event without end grew without bound and was copied at each read; a plain answer could grow to 64 MiB; an answer without the repeated id was accepted on a connection in use again, where it may be a late copy; an exception in the callback of one connection or timer ended the process, and took the other due timers with it.

Change: only events with fields are progress; events are limited to 1 MiB and plain answers to 8 MiB; on used connections the id must be repeated; unexpected errors end the connection, datagram or timer in which they occur and are logged, while failed assertions still end the process. Heads, chunk extensions and trailers without end were bounded already; tests show it.

Also: a planner that takes over takes the system for new only at its first start, not whenever it knows of no demand.

--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -2,7 +2,7 @@
 
 from ._admission import AdmissionAction, AdmissionDecision, decide_admission
 from ._budget import SharedRetryBudget
-from ._events import ResumableEventSplitter
+from ._events import ResumableEventSplitter, has_fields
 from ._load import InFlightLoad, LoadTracker
 from ._pace import EventGapTracker
 from ._recovery import RecoveryAction, SendFailure, SendProgress, decide_recovery
@@ -25,6 +25,7 @@
     "decide_admission",
     "decide_recovery",
     "expected_first_event_s",
+    "has_fields",
     "slot_occupancy_s",
     "subset_size",
 ]
--- a/briarpond/dispatch/_events.py
+++ b/briarpond/dispatch/_events.py
@@ -7,6 +7,11 @@
 _ID_FIELD = b"id:"
 
 
+def has_fields(events: bytes) -> bool:
+    """Whether complete events contain any field; comments and empty lines are none."""
+    return any(line and not line.startswith(b":") for line in events.split(b"\n"))
+
+
 class ResumableEventSplitter:
     """Holds back the bytes of an incomplete event until the event is complete.
 
@@ -18,7 +23,12 @@
 
     def __init__(self) -> None:
         self.last_event_id: bytes | None = None
-        self._buffer = b""
+        self._buffer = bytearray()
+
+    @property
+    def partial_size(self) -> int:
+        """Number of bytes of an incomplete event that are held back."""
+        return len(self._buffer)
 
     @property
     def has_partial_event(self) -> bool:
@@ -27,21 +37,20 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the bytes of the events that are now complete."""
-        data = self._buffer + data
-        end = data.rfind(_EVENT_TERMINATOR)
+        # The terminator may begin with the last byte that was held back.
+        search_from = max(0, len(self._buffer) - len(_EVENT_TERMINATOR) + 1)
+        self._buffer += data
+        end = self._buffer.rfind(_EVENT_TERMINATOR, search_from)
         if end < 0:
-            self._buffer = data
             return b""
-        complete, self._buffer = (
-            data[: end + len(_EVENT_TERMINATOR)],
-            data[end + len(_EVENT_TERMINATOR) :],
-        )
+        complete = bytes(self._buffer[: end + len(_EVENT_TERMINATOR)])
+        del self._buffer[: end + len(_EVENT_TERMINATOR)]
         self._update_last_id(complete)
         return complete
 
     def discard_partial_event(self) -> None:
         """Discard an incomplete event, because the send that it came from has ended."""
-        self._buffer = b""
+        self._buffer.clear()
 
     def _update_last_id(self, complete: bytes) -> None:
         start = complete.rfind(b"\n" + _ID_FIELD)
--- a/briarpond/gateway/_peers.py
+++ b/briarpond/gateway/_peers.py
@@ -22,7 +22,7 @@
 )
 from briarpond.ids import InstanceId
 from briarpond.logs import log_warning
-from briarpond.net import Address, Clock, DirectPoller
+from briarpond.net import Address, Clock, DirectPoller, run_guarded
 
 # Buffer for one datagram.
 MAX_DATAGRAM_BYTES = 65_000
@@ -97,7 +97,7 @@
             data = self._receive()
             if data is None:
                 return
-            self._handle_datagram(data)
+            run_guarded("datagram", self._handle_datagram, data)
 
     def on_writable(self, _sock: socket.socket) -> None:
         """Do nothing; the poller never calls this, as no writer is registered."""
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -220,6 +220,8 @@
         load_budget = LoadBudget(
             engine.load_starts_per_s, engine.max_concurrent_loads, bounds.weight_load_window_s
         )
+        # An empty demand means only then that callers have not come yet.
+        load_budget.enforced = not self._state.settings.first_start or self._state.has_served
         load_budget.record_started(self._count_joining(spec.name), now)
         planner = Planner(self._term, engine, load_budget, bounds.stall_s, self._group_numbers)
         self._planners[spec.name] = planner
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -11,6 +11,7 @@
     SendProgress,
     decide_admission,
     decide_recovery,
+    has_fields,
 )
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.logs import log_event
@@ -32,7 +33,9 @@
 FULL_DURATION_S = 0.15
 # Limit of answers that are not streams, since they are kept in memory until complete. A send
 # with a larger answer counts as failed.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Limit of an event of a stream, which is kept in memory until it is complete.
+MAX_EVENT_BYTES = 1024 * 1024
 # Time allowed for a request without a deadline header; the route's timeout also applies.
 DEFAULT_DEADLINE_S = 30.0
 # Statuses with which a server may state that it has not executed a request.
@@ -326,21 +329,35 @@
 
     def _on_body(self, data: bytes) -> None:
         now = self._state.clock.now()
-        if self._is_stream and self.first_event_seen and self.server is not None:
-            self._state.event_gap_tracker.record_gap(
-                self.server, self.model, now - self.last_progress, now
-            )
-        self.last_progress = now
         if not self._is_stream:
+            self.last_progress = now
             self._answer_body += data
             if len(self._answer_body) > MAX_ANSWER_BYTES:
                 self._on_send_failed(SendFailure.UNKNOWN, "answer_too_large")
             return
         complete_events = self._event_splitter.feed(data)
-        if complete_events:
+        if self._event_splitter.partial_size > MAX_EVENT_BYTES:
+            self._give_up_endless_event(now)
+            return
+        if has_fields(complete_events):
+            self._record_progress(now)
             self._mark_first_event()
+        if complete_events:
             self._forward_events(complete_events, now)
 
+    def _give_up_endless_event(self, now: float) -> None:
+        assert self.server is not None
+        self._state.avoid(self.server, now)
+        self._on_send_failed(SendFailure.UNKNOWN, "event_too_large")
+
+    def _record_progress(self, now: float) -> None:
+        """Note that events have arrived; bytes that complete none are no progress."""
+        if self.first_event_seen and self.server is not None:
+            self._state.event_gap_tracker.record_gap(
+                self.server, self.model, now - self.last_progress, now
+            )
+        self.last_progress = now
+
     def _forward_events(self, complete_events: bytes, now: float) -> None:
         if not self._headers_forwarded:
             self._headers_forwarded = True
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -81,6 +81,8 @@
         Time between events of the streams of each head.
     leaving : bool
         Whether the node is about to stop.
+    has_served : bool
+        Whether this node has taken a caller's request for a model since its start.
     plan : Plan or None
         Newest plan that this node received or published; None before the first.
     planner : NodeId or None
@@ -106,6 +108,7 @@
         self.event_gap_tracker = EventGapTracker()
         self.metrics = GatewayMetrics()
         self.leaving = False
+        self.has_served = False
         self.plan: Plan | None = None
         self.planner: NodeId | None = None
         self.node_count = 1
@@ -271,6 +274,7 @@
         self, model: ModelName, engine: EngineSpec, request_size: RequestSize, now: float
     ) -> None:
         """Add a caller's request to the demand for its model."""
+        self.has_served = True
         spec = engine.model(model)
         if spec is not None:
             group_share = slot_occupancy_s(engine, spec, request_size) / (
--- a/briarpond/net/__init__.py
+++ b/briarpond/net/__init__.py
@@ -6,6 +6,7 @@
 
 from ._address import Address
 from ._clock import Clock, Timer
+from ._guard import run_guarded
 from ._http_client import CallState, Exchange, Headers, HttpCall, HttpClient
 from ._http_server import CallerConnection, HttpReply, HttpRequest, HttpServer, HttpServerLimits
 from ._listener import TcpListener
@@ -36,4 +37,5 @@
     "UncaughtExceptionHandler",
     "TcpListener",
     "Timer",
+    "run_guarded",
 ]
--- a/briarpond/net/_clock.py
+++ b/briarpond/net/_clock.py
@@ -7,6 +7,8 @@
 
 from circuits import BaseComponent, handler
 
+from ._guard import run_guarded
+
 
 class Timer:
     """Scheduled call that can be cancelled.
@@ -83,4 +85,4 @@
         while self._heap and self._heap[0][0] <= now:
             timer = heapq.heappop(self._heap)[2]
             if timer.callback is not None:
-                timer.callback()
+                run_guarded("timer", timer.callback)
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -81,7 +81,8 @@
     echoed_header : tuple or None
         Header name (in lower case) and value that the server repeats in its answer.
         An answer with another value belongs to an earlier request on the same
-        connection and is discarded; one without the header is accepted.
+        connection and is discarded. One without the header is accepted only on a new
+        connection.
     """
 
     address: Address
@@ -211,8 +212,12 @@
         headers = _decode_headers(event.headers)
         echo = self._call.echoed_header
         if echo is not None:
-            echoed = next((value for name, value in headers if name == echo[0]), echo[1])
-            self._discarding = echoed != echo[1]
+            echoed = next((value for name, value in headers if name == echo[0]), None)
+            if echoed is None and not self.fresh:
+                # It may be a late copy of an answer to an earlier call.
+                self._fail(LossReason.MALFORMED)
+                return
+            self._discarding = echoed is not None and echoed != echo[1]
         if self._discarding:
             return
         self._idle_timeout_s = _parse_idle_timeout(headers)
--- a/briarpond/net/_outbound.py
+++ b/briarpond/net/_outbound.py
@@ -16,6 +16,7 @@
 
 from ._address import Address
 from ._clock import Clock, Timer
+from ._guard import run_guarded
 from ._poller import DirectPoller
 
 # Largest read from a socket in one turn of the loop.
@@ -239,7 +240,7 @@
         if not data:
             self._end_connection(conn)
         elif conn.callbacks is not None:
-            conn.callbacks.on_data(data)
+            self._notify(conn, conn.callbacks.on_data, data)
 
     def on_writable(self, sock: socket.socket) -> None:
         """Finish the connect of `sock`, or write buffered bytes to it."""
@@ -271,7 +272,7 @@
             conn.connect_timer.cancel()
         self._poller.addReader(self, conn.sock)
         if conn.callbacks is not None:
-            conn.callbacks.on_open()
+            self._notify(conn, conn.callbacks.on_open)
         return True
 
     def _on_connect_timeout(self, conn: Connection) -> None:
@@ -300,7 +301,13 @@
         established = conn.established
         self.close_connection(conn)
         if callbacks is not None:
-            callbacks.on_closed(established)
+            run_guarded("connection", callbacks.on_closed, established)
+
+    def _notify(self, conn: Connection, callback: Callable[..., None], *args: object) -> None:
+        """Call a function of the connection; if it raises, end only that connection."""
+        if not run_guarded("connection", callback, *args):
+            conn.was_reset = True
+            self._end_connection(conn)
 
 
 Opener = Callable[[Address, ConnectionCallbacks, float], Connection]
--- a/tests/gateway/test_config_exchange.py
+++ b/tests/gateway/test_config_exchange.py
@@ -91,7 +91,7 @@
     yield encode_config_record(ConfigRecord(1, 0.0, zlib.compress(RECORD)[:-5]))
 
 
-@pytest.mark.parametrize("body", malformed_records())
+@pytest.mark.parametrize("body", list(malformed_records()))
 def test_malformed_record_is_dropped(exchange, body):
     exchange.fetch(7, "10.0.0.2")
     exchange.client.fetches[0][2](200, body)
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from briarpond.directory import Plan, PlanLog, RoutingTargets
@@ -93,3 +94,26 @@
     gateway.state.accept_plan(Plan(6, 1, True, RoutingTargets()), gateway.clock.now())
     assert not step_after(node, 0.1)
     assert not gateway.announced
+
+
+def test_loads_are_limited_by_a_planner_that_takes_over_while_no_demand_is_known(node):
+    """Guards against CEILING: an empty demand does not mean that callers have yet to come.
+
+    A new planner that had just lost contact with the relays, or whose process had just
+    started, took the system for new and loaded models without a limit.
+    """
+    gateway, runner = node
+    gateway.send_stream_request()
+    assert step_after(node, 0.5)
+    (planner,) = runner._planners.values()
+    assert planner._load_budget.enforced
+
+
+@pytest.mark.parametrize(("first_start", "enforced"), [(True, False), (False, True)])
+def test_loads_are_unlimited_only_at_the_first_start_of_the_system(node, first_start, enforced):
+    gateway, runner = node
+    settings = msgspec.structs.replace(gateway.state.settings, first_start=first_start)
+    gateway.state.settings = settings
+    assert step_after(node, 0.5)
+    (planner,) = runner._planners.values()
+    assert planner._load_budget.enforced is enforced
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -264,3 +264,56 @@
     data = b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nhalf"
     client = HttpClient(loop.connector, loop.clock)
     assert call(loop, client, ScriptedServer([data]))[0] == [200, "connection-lost"]
+
+
+def test_answer_without_the_repeated_header_on_a_used_connection_fails(loop):
+    """Such an answer may be a late copy of the answer to the previous call."""
+    anonymous = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+    server = ScriptedServer([answer(b"a"), anonymous])
+    client = HttpClient(loop.connector, loop.clock)
+    assert call(loop, client, server, "a") == ([200, "end"], b"ok")
+    assert call(loop, client, server, "b") == (["malformed"], b"")
+
+
+@pytest.mark.parametrize("endless", [b"x" * 1000, b"X-Pad: " + b"y" * 1000 + b"\r\n"])
+def test_head_without_end_fails_within_bounded_memory(loop, endless):
+    data = b"HTTP/1.1 200 OK\r\n" + endless * 200
+    client = HttpClient(loop.connector, loop.clock)
+    assert call(loop, client, ScriptedServer([data]))[0] == ["malformed"]
+
+
+def test_chunk_extension_without_end_fails_within_bounded_memory(loop):
+    head = b"HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data = head + b"5;" + b"e" * 200_000
+    client = HttpClient(loop.connector, loop.clock)
+    assert call(loop, client, ScriptedServer([data]))[0] == [200, "malformed"]
+
+
+def test_trailer_without_end_fails_within_bounded_memory(loop):
+    head = b"HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data = head + b"2\r\nok\r\n0\r\n" + b"X-Pad: y\r\n" * 20_000
+    client = HttpClient(loop.connector, loop.clock)
+    assert call(loop, client, ScriptedServer([data]))[0] == [200, "malformed"]
+
+
+def test_callback_that_raises_costs_its_call_and_not_the_process(loop):
+    """Guards against an unexpected error in one answer that ends the whole process."""
+    client = HttpClient(loop.connector, loop.clock)
+    server = ScriptedServer([answer(b"a")])
+    progress = []
+
+    def fail(_status, _headers):
+        raise KeyError("unexpected")
+
+    http_call = HttpCall(server.address, "GET", "/", (), b"", fail, bytes, bool, progress.append)
+    loop.clock.after(0.0, lambda: client.start(http_call))
+    loop.wait_until(lambda: progress)
+    assert progress[0] is not None
+    assert call(loop, client, ScriptedServer([answer(b"a")])) == ([200, "end"], b"ok")
+
+
+def test_timer_that_raises_does_not_stop_the_others(loop):
+    fired = []
+    loop.clock.after(0.0, lambda: {}["missing"])
+    loop.clock.after(0.05, lambda: fired.append(1))
+    loop.wait_until(lambda: fired)
