SIGTERM while modules are loaded ends the process at once

Cause: the early handler raised SystemExit, which Python drops in finalizers and weak reference callbacks; the import of modules runs many. A test of a stop during the start failed once beside load. A test that sends the signal from a finalizer failed first: the process went on.

Change: the handler ends the process directly; nothing is served or buffered that early.

--- a/briarpond/gateway/__main__.py
+++ b/briarpond/gateway/__main__.py
@@ -1,13 +1,18 @@
 """Command ``python -m briarpond.gateway``: runs one node on the users' platform."""
 
+import os
 import signal
 import sys
 from types import ModuleType
 
 
 def _exit_before_start(*_: object) -> None:
-    """Exit with status 0 on a SIGTERM that arrives before the node serves requests."""
-    sys.exit(0)
+    """Exit with status 0 on a SIGTERM that arrives before the node serves requests.
+
+    An exception would be lost if the signal arrived in a finalizer or a weak reference's
+    callback, of which the import of modules runs many.
+    """
+    os._exit(0)
 
 
 def _import_circuits() -> None:
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -61,6 +61,46 @@
         assert process.returncode == 0
 
 
+SIGTERM_IN_FINALIZER = """
+import builtins, os, signal, sys, time
+
+class Finalized:
+    def __del__(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+        for _ in range(1000):
+            pass
+
+load = builtins.__import__
+
+def load_with_finalizer(name, *args):
+    if name == "circuits":
+        Finalized()
+    return load(name, *args)
+
+builtins.__import__ = load_with_finalizer
+import briarpond.gateway.__main__
+sys.exit("still running")
+"""
+
+
+def test_sigterm_in_a_finalizer_while_modules_are_loaded_is_not_lost(tmp_path):
+    """Guards against a process that ignores its stop, as seen once on a busy machine.
+
+    Python drops exceptions in finalizers and weak reference callbacks, also the SystemExit of
+    a signal handler that happens to run there.
+    """
+    settings = tmp_path / "node.yaml"
+    settings.write_text("nodeName: x")
+    process = subprocess.run(
+        [sys.executable, "-c", SIGTERM_IN_FINALIZER],
+        cwd=ROOT,
+        env={**os.environ, "BRIARPOND_SETTINGS": str(settings)},
+        capture_output=True,
+        timeout=30,
+    )
+    assert (process.returncode, process.stderr) == (0, b"")
+
+
 def wait_until_sigterm_is_caught(process):
     """Wait until the kernel lists a handler of the process for SIGTERM."""
     sigterm_bit = 1 << (signal.SIGTERM - 1)
