--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -44,6 +44,7 @@
 from ._peers import PeerLink
 from ._planner_link import PlannerRunner
 from ._registry import NodeRegistry
+from ._start_wait import start_wait_s
 from ._state import NodeState
 from ._store_link import READ_WAIT_S, StoreClient, TopicFeed
 
@@ -74,13 +75,6 @@
 MISSING_CHECK_INTERVAL_S = 0.2
 # How often a stopping node checks whether it is done.
 STOP_CHECK_INTERVAL_S = 0.05
-# How long a node that has just started waits for the configuration and the plan from its peers
-# before it reads the store itself: this long for each node that it knows, so that a restart of
-# many nodes does not make all of them read the store.
-START_WAIT_PER_NODE_S = 0.02
-MAX_START_WAIT_S = 1.5
-# The same if the whole system starts for the first time: nobody has them then.
-FIRST_START_WAIT_S = 8.0
 # Share of `bounds.revoke_within_s` up to which the configuration may be old on a ready node. It is
 # less than KEYS_MAX_AGE_SHARE, so that callers are sent elsewhere before keys are refused.
 READY_MAX_AGE_SHARE = 0.6
@@ -430,11 +424,13 @@
         return self.state.needs_instance_list(now)
 
     def _start_wait_s(self, now: float) -> float:
-        """Return for how long after its start this node waits for what others know."""
         sync = self._peers.sync
-        if self._settings.first_start and sync.is_connected(now):
-            return FIRST_START_WAIT_S
-        return min(MAX_START_WAIT_S, START_WAIT_PER_NODE_S * sync.members.count_nodes(now))
+        return start_wait_s(
+            sync.members.count_nodes(now),
+            sync.is_connected(now),
+            self._settings.first_start,
+            bool(self._settings.seed_hosts),
+        )
 
     def _instances_pause_s(self) -> float:
         is_planner = self._planner.planning or self._lease.holds(self._clock.now())
--- a/briarpond/gateway/_registry.py
+++ b/briarpond/gateway/_registry.py
@@ -15,14 +15,13 @@
     newest_records_request,
 )
 
+from ._start_wait import SEED_WAIT_S
 from ._store_link import StoreClient
 
 # Timeout of a call to the store.
 CALL_TIMEOUT_S = 1.0
 # Wait before a failed registration or read is repeated.
 RETRY_DELAY_S = 0.5
-# How long the nodes that the settings name may take to answer before the store is asked.
-SEED_DELAY_S = 0.8
 # How often it is checked whether this node has lost contact with all others.
 CHECK_INTERVAL_S = 1.0
 # How often a candidate for the planner's lease reads the whole list, so that parts of the
@@ -89,7 +88,7 @@
     def start(self) -> None:
         """Try the nodes that the settings name; without any, ask the store at once."""
         self._add_hosts(self._settings.seed_hosts)
-        delay = SEED_DELAY_S if self._settings.seed_hosts else 0.0
+        delay = SEED_WAIT_S if self._settings.seed_hosts else 0.0
         self._clock.after(delay, lambda: self._clock.every(CHECK_INTERVAL_S, self._check))
 
     def leave(self) -> None:
