A candidate that lost the store comes back only when it could plan at once

A renewal late by a moment cost a take-over from itself (0.6 s).

Change: a membership that has expired ends; its node follows the list first and applies again only if it is needed and prepared. A planner whose lease has expired by its own clock pauses and goes on if the renewal finds the same term. While it is paused it confirms no plan.

--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -37,7 +37,12 @@
         Shortest lifetime of a lease that the store grants, in seconds. The node asks for
         this lifetime, but for at least three renewal intervals.
     should_apply : callable
-        Returns whether this node should become a candidate; not called again once it is one.
+        Returns whether this node should become a candidate. Not called while it is one.
+    is_prepared : callable
+        Returns whether this node could plan at once. A node whose membership has expired
+        comes back only then, since the lease may move to it at that moment.
+    is_superseded : callable
+        Returns whether another node has planned under a later term.
 
     Attributes
     ----------
@@ -55,11 +60,17 @@
         node: NodeId,
         ttl_min_s: float,
         should_apply: Callable[[], bool],
+        is_prepared: Callable[[], bool],
+        is_superseded: Callable[[], bool],
     ) -> None:
         self.term = 0
         self.held_since = float("inf")
         self._should_apply = should_apply
+        self._is_prepared = is_prepared
+        self._is_superseded = is_superseded
         self._is_applying = False
+        self._has_expired = False
+        self._is_preparing = False
         self._unanswered_calls = 0
         self._store = store
         self._clock = clock
@@ -86,6 +97,11 @@
         """Whether this node applies for the lease and the store answered within its lifetime."""
         return self._is_applying and now < self._renewed_at + self._ttl_s
 
+    @property
+    def is_preparing(self) -> bool:
+        """Whether this node wants to become a candidate again and must prepare for that."""
+        return self._is_preparing
+
     def holds(self, now: float) -> bool:
         """Whether this node holds an unexpired lease."""
         return self._holds and now < self._renewed_at + self._ttl_s - EXPIRY_MARGIN_S
@@ -98,8 +114,9 @@
         if self._stopped:
             return
         self._clock.after(RENEW_INTERVAL_S, self._renew)
+        self._end_expired_membership(self._clock.now())
         # A candidate stays one, because each change of the members may move the lease.
-        self._is_applying = self._is_applying or self._should_apply()
+        self._is_applying = self._is_applying or self._may_apply()
         if not self._is_applying:
             return
         requested_at = self._clock.now()
@@ -111,6 +128,27 @@
             self._on_no_answer,
         )
 
+    def _end_expired_membership(self, now: float) -> None:
+        """Stop applying once the store has dropped this member, so far as it can be known."""
+        expires_at = self._renewed_at + self._ttl_s + CALL_TIMEOUT_S
+        if not self._is_applying or self._renewed_at == float("-inf") or now < expires_at:
+            return
+        if self._holds and not self._is_superseded():
+            # Nobody else plans, so this node gets the lease back as soon as it can.
+            return
+        self._is_applying = False
+        self._has_expired = True
+        self._holds = False
+        log_warning("lease_membership_expired", term=self.term)
+
+    def _may_apply(self) -> bool:
+        wants = self._should_apply()
+        self._is_preparing = wants and self._has_expired
+        if not wants or (self._has_expired and not self._is_prepared()):
+            return False
+        self._is_preparing = False
+        return True
+
     def _on_answer(self, requested_at: float, status: int, body: bytes) -> None:
         answer = decode_lease(body) if status == 200 else None
         if answer is None or answer.is_error():
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -46,7 +46,7 @@
 from ._registry import NodeRegistry
 from ._start_wait import start_wait_s
 from ._state import NodeState
-from ._store_link import READ_WAIT_S, StoreClient, TopicFeed
+from ._store_link import READ_MARGIN_S, READ_WAIT_S, StoreClient, TopicFeed
 
 # Lifetime of a directory answer; the settings may bound it further.
 DIRECTORY_TTL_S = 1.0
@@ -167,6 +167,8 @@
             settings.node,
             settings.store.min_lease_ttl_s,
             self._should_apply,
+            self._is_prepared_to_plan,
+            self._is_superseded,
         )
         self._planner = PlannerRunner(
             self.state, self._lease, self._peers, lambda: self._instances_feed.known_until
@@ -417,7 +419,7 @@
     def _needs_instance_list(self) -> bool:
         """Whether this node follows the instance list itself instead of the planner's targets."""
         now = self._clock.now()
-        if self._planner.planning or self._lease.holds(now):
+        if self._planner.planning or self._lease.holds(now) or self._lease.is_preparing:
             return True
         if self.state.plan is None and now - self._started_at < self._start_wait_s(now):
             return False
@@ -439,7 +441,8 @@
     def _instances_wait_s(self) -> float:
         if self._planner.taking_over:
             return TAKE_OVER_READ_WAIT_S
-        return PLANNER_READ_WAIT_S if self._planner.planning else READ_WAIT_S
+        follows_closely = self._planner.planning or self._lease.is_preparing
+        return PLANNER_READ_WAIT_S if follows_closely else READ_WAIT_S
 
     def _on_store_regained(self, failure_age_s: float) -> None:
         """Report the end of a store outage to the fleet view."""
@@ -489,6 +492,17 @@
         sync = self._peers.sync
         return sync.is_settled(now) and sync.members.should_apply(MAX_CANDIDATES, now)
 
+    def _is_prepared_to_plan(self) -> bool:
+        """Whether this node has followed the instance list long enough to plan at once."""
+        now = self._clock.now()
+        age = self._instances_feed.age(now)
+        is_fresh = age is not None and age < PLANNER_READ_WAIT_S + READ_MARGIN_S
+        return is_fresh and self.state.fleet.is_complete(now)
+
+    def _is_superseded(self) -> bool:
+        plan = self.state.plan
+        return plan is not None and plan.term > self._lease.term
+
     def _plan_status(self, now: float) -> PlanStatus | None:
         state = self.state
         if self._planner.publishes(now):
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -73,6 +73,8 @@
         self._probes: dict[InstanceId, Exchange] = {}
         self._probed_at: dict[InstanceId, float] = {}
         self._term = 0
+        # Whether the last step planned; False after a pause in which the lease had expired.
+        self._was_planning = False
         self._group_numbers = itertools.count(1)
         self._stages: dict[str, GroupStage] = {}
 
@@ -83,8 +85,11 @@
 
     def publishes(self, now: float) -> bool:
         """Whether the newest plan is this node's own, and this node still stands by it."""
-        is_own = self._peers.sync.plan_log.version.term == self._term
-        return is_own and (self.planning or (self.taking_over and self._term == self._lease.term))
+        if self._peers.sync.plan_log.version.term != self._term:
+            return False
+        if self.planning:
+            return self._lease.holds(now) or self._may_go_on_without_store(now)
+        return self.taking_over and self._term == self._lease.term
 
     def start(self) -> None:
         """Start the periodic steps."""
@@ -110,26 +115,43 @@
         now = state.clock.now()
         config = state.config
         if config is None or state.leaving or not self._may_plan(now):
+            if self._is_paused(now):
+                self._was_planning = False
+                return
             self._stop_planning()
             if self.taking_over:
                 self._publish_listed_groups(now)
             return
+        self._was_planning = True
         for spec in config.services.values():
             if spec.engine is not None and spec.engine.models:
                 self._step_service(spec, now)
         self._publish(now)
 
+    def _is_paused(self, now: float) -> bool:
+        """Whether planning can go on if the lease is renewed without a change of its term.
+
+        Nobody else can have held it in between then.
+        """
+        if not self._planners or self._state.leaving or self._superseded():
+            return False
+        return self._lease.expired_while_held(now) and self._lease.term == self._term
+
     def _may_plan(self, now: float) -> bool:
         """Whether this node may plan now: it holds the lease, or no node can get it."""
         if self._lease.holds(now):
-            if self._planners:
+            if self._planners and (self._was_planning or self._lease.term == self._term):
                 self._adopt_new_term()
                 return True
+            self._stop_planning()
             return self._may_take_over(now)
-        # While no node reaches the store, the last planner goes on although its lease expired.
-        lapsed = bool(self._planners) and self._lease.expired_while_held(now)
+        return self._may_go_on_without_store(now)
+
+    def _may_go_on_without_store(self, now: float) -> bool:
+        """Whether this node was the last planner and no node can get the lease at present."""
         return (
-            lapsed
+            bool(self._planners)
+            and self._lease.expired_while_held(now)
             and not self._superseded()
             and self._peers.sync.members.no_node_reaches_store(now)
         )
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -20,6 +20,9 @@
 
 # A request goes to the best of this many groups.
 COMPARED_GROUPS = 4
+# What a new connection is taken to cost, as a delay of the first event. It makes a node keep to
+# groups that it is connected to while others are hardly faster.
+CONNECT_COST_S = 0.02
 
 
 class ServerChoice(msgspec.Struct, frozen=True):
@@ -94,7 +97,13 @@
         return min(choices, key=lambda choice: choice.expected_s, default=None)
     preferred = with_room[: subset_size(len(usable_groups), state.node_count)]
     sampled = state.rng.sample(preferred, min(len(preferred), COMPARED_GROUPS))
-    return min(sampled, key=lambda choice: choice.expected_s)
+    return min(sampled, key=lambda choice: _cost(state, choice))
+
+
+def _cost(state: NodeState, choice: ServerChoice) -> float:
+    """Return the expected time to the first event, with the cost of a new connection."""
+    is_connected = state.client.has_idle(choice.address)
+    return choice.expected_s + (0.0 if is_connected else CONNECT_COST_S)
 
 
 def _rate_group(
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -385,6 +385,11 @@
         exchange = self.start(call)
         return exchange
 
+    def has_idle(self, address: Address) -> bool:
+        """Whether a connection to an address is kept that a call can use again."""
+        now = self._clock.now()
+        return any(expires_at > now for expires_at, _ in self._idle.get(address, ()))
+
     def keep_idle(self, conn: Connection, idle_timeout_s: float = IDLE_TIMEOUT_S) -> None:
         """Keep an idle connection for later calls, or close it if there are enough.
 
--- a/tests/gateway/test_heavy_load.py
+++ b/tests/gateway/test_heavy_load.py
@@ -61,3 +61,16 @@
     state.load_tracker.set_peer_load("relays", [("h0", GROUP_SLOTS, 0), ("h1", GROUP_SLOTS, 0)])
     gateway.send_stream_request()
     assert gateway.client.sent[-1].call.address == groups[2].address
+
+
+def test_connected_group_is_preferred_unless_another_is_clearly_faster(tmp_path):
+    """Many nodes with few requests each open no new connection for each of them."""
+    gateway = Gateway(tmp_path)
+    groups = {group.head: group for group in gateway.state.groups(gateway.clock.now())}
+    gateway.client.idle.add(groups["h2"].address)
+    gateway.send_stream_request()
+    assert gateway.client.sent[-1].call.address == groups["h2"].address
+    tracker = gateway.state.load_tracker
+    tracker.set_peer_load("relays", [("h2", GROUP_SLOTS - 2, 4 * 979)])
+    gateway.send_stream_request()
+    assert gateway.client.sent[-1].call.address != groups["h2"].address
--- /dev/null
+++ b/tests/gateway/test_lease.py
@@ -0,0 +1,99 @@
+"""Who applies for the planner's lease, and when a node comes back after it lost the store.
+
+The pattern guarded against: a candidate that was cut off from the store rejoins, the lease moves
+to it at that moment, and nobody plans while it reads the list and waits for entries to return.
+On the large site this left 6 of 30 seconds without repairs while servers crashed.
+"""
+
+import msgspec
+import pytest
+
+from briarpond.gateway._lease import RENEW_INTERVAL_S, PlannerLease
+
+from .world import VirtualClock
+
+
+class LeaseStore:
+    """Answers calls to join at once, or not at all while it is down."""
+
+    def __init__(self):
+        self.is_down = False
+        self.term = 1
+        self.holds = True
+        self.joins = 0
+
+    def call(self, request, timeout_s, on_answer, on_lost):
+        if self.is_down:
+            return
+        self.joins += 1
+        parts = [("planner", 0, 0)] if self.holds else []
+        on_answer(200, msgspec.json.encode({"generation": self.term, "parts": parts}))
+
+
+@pytest.fixture
+def candidate():
+    clock = VirtualClock()
+    store = LeaseStore()
+    flags = {"should_apply": True, "prepared": False, "superseded": False}
+    lease = PlannerLease(
+        store,
+        clock,
+        "n1",
+        1.0,
+        lambda: flags["should_apply"],
+        lambda: flags["prepared"],
+        lambda: flags["superseded"],
+    )
+    lease.start()
+    clock.advance(1.0)
+    lease.clock, lease.store, lease.flags = clock, store, flags
+    return lease
+
+
+def test_first_application_needs_no_preparation(candidate):
+    assert candidate.holds(candidate.clock.now())
+
+
+def test_standby_that_lost_the_store_comes_back_only_when_prepared(candidate):
+    candidate.store.holds = False
+    candidate.clock.advance(RENEW_INTERVAL_S)
+    candidate.store.is_down = True
+    candidate.clock.advance(3.0)
+    candidate.store.is_down = False
+    joins = candidate.store.joins
+    candidate.clock.advance(3.0)
+    assert candidate.is_preparing and candidate.store.joins == joins
+    candidate.flags["prepared"] = True
+    candidate.clock.advance(2 * RENEW_INTERVAL_S)
+    assert candidate.store.joins > joins and not candidate.is_preparing
+
+
+def test_holder_that_nobody_has_replaced_renews_as_soon_as_it_can(candidate):
+    """During an outage of the whole store the last planner goes on and keeps the lease."""
+    candidate.store.is_down = True
+    candidate.clock.advance(6.0)
+    assert candidate.expired_while_held(candidate.clock.now())
+    candidate.store.is_down = False
+    candidate.clock.advance(2 * RENEW_INTERVAL_S)
+    assert candidate.holds(candidate.clock.now())
+
+
+def test_holder_that_was_replaced_gives_up_and_prepares(candidate):
+    candidate.store.is_down = True
+    candidate.flags["superseded"] = True
+    candidate.clock.advance(3.0)
+    now = candidate.clock.now()
+    assert not candidate.expired_while_held(now) and not candidate.is_candidate(now)
+    assert candidate.is_preparing
+
+
+def test_node_that_is_not_needed_any_more_does_not_come_back(candidate):
+    candidate.store.holds = False
+    candidate.clock.advance(RENEW_INTERVAL_S)
+    candidate.store.is_down = True
+    candidate.clock.advance(3.0)
+    candidate.store.is_down = False
+    candidate.flags.update(should_apply=False, prepared=True)
+    joins = candidate.store.joins
+    candidate.clock.advance(3.0)
+    assert candidate.store.joins == joins and not candidate.is_preparing
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -117,3 +117,34 @@
     assert step_after(node, 0.5)
     (planner,) = runner._planners.values()
     assert planner._load_budget.enforced is enforced
+
+
+def test_planning_goes_on_at_once_after_a_late_renewal_of_the_same_term(node):
+    """A planner whose renewal was late by a moment once stopped and took over from itself."""
+    gateway, runner = node
+    assert step_after(node, 0.5)
+    (planner,) = runner._planners.values()
+    runner._lease.holds = lambda now: False
+    runner._lease.expired_while_held = lambda now: True
+    runner._peers.sync.members = SimpleNamespace(no_node_reaches_store=lambda now: False)
+    announced = len(gateway.announced)
+    assert step_after(node, 0.3)
+    assert len(gateway.announced) == announced
+    runner._lease.holds = lambda now: True
+    step_after(node, 0.1)
+    assert list(runner._planners.values()) == [planner]
+
+
+def test_planning_begins_anew_if_the_term_changed_while_the_lease_had_expired(node):
+    """Another node may have planned in between."""
+    _, runner = node
+    assert step_after(node, 0.5)
+    (planner,) = runner._planners.values()
+    runner._lease.holds = lambda now: False
+    runner._lease.expired_while_held = lambda now: True
+    runner._peers.sync.members = SimpleNamespace(no_node_reaches_store=lambda now: False)
+    step_after(node, 0.1)
+    runner._lease.holds = lambda now: True
+    runner._lease.term += 2
+    step_after(node, 0.1)
+    assert planner not in runner._planners.values()
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -72,13 +72,14 @@
 class ScriptedClient:
     """Stands in for `HttpClient` and records the sends.
 
-    Connections to addresses in `refusing` fail.
+    Connections to addresses in `refusing` fail; to those in `idle` one is kept.
     """
 
     def __init__(self, clock) -> None:
         self.clock = clock
         self.sent: list[ReceivedSend] = []
         self.refusing: set[Address] = set()
+        self.idle: set[Address] = set()
 
     def start(self, call):
         if call.address in self.refusing:
@@ -88,6 +89,9 @@
         self.sent.append(sent)
         return sent
 
+    def has_idle(self, address):
+        return address in self.idle
+
     def fetch(self, *_call):
         """Accept an order or a probe, which is never answered."""
         return NullExchange()
