--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -25,7 +25,7 @@
     Pull,
     ServerInFlight,
 )
-from .gen.beats import ttypes
+from .gen.exchange import ttypes
 
 Datagram = Pull | Answer | Notice
 
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -1,6 +1,6 @@
 """Messages between nodes, and what they carry: members, loads, demand and the plan.
 
-The wire types of the same content are generated from ``beats.thrift``.
+The wire types of the same content are generated from ``exchange.thrift``.
 """
 
 import msgspec
--- a/briarpond/directory/beats.thrift
+++ b/briarpond/directory/exchange.thrift
@@ -1,9 +1,9 @@
 /*
  * Datagrams between nodes. Fields are only ever added, as optional.
  *
- * Regenerate: thrift --gen py:no_utf8strings=false -out briarpond/directory/gen briarpond/directory/beats.thrift
+ * Regenerate: thrift --gen py:no_utf8strings=false -out briarpond/directory/gen briarpond/directory/exchange.thrift
  */
-namespace py beats
+namespace py exchange
 
 /** Requests that nodes have in flight at one server. */
 struct ServerRow {
