A planned stop answers requests that have just arrived or are half read

Cause, shown by a test that failed first with a reset: idle connections were closed even if a request lay unread in their sockets, and the process ended while a request was half read.

Change: such connections count as unanswered; they are not closed as idle, and the node ends when none is left or its time is up.

--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -251,7 +251,8 @@
         time_is_up = elapsed > self._settings.bounds.stop_timeout_s - KILL_MARGIN_S
         if time_is_up:
             self.ingress.end_all()
-        if self.ingress.in_flight == 0 or time_is_up:
+        unanswered = self.ingress.in_flight + self._caller_endpoint.unanswered_count()
+        if unanswered == 0 or time_is_up:
             self._on_stopped()
 
     # Configuration
--- a/briarpond/net/_http_server.py
+++ b/briarpond/net/_http_server.py
@@ -194,11 +194,15 @@
         self.connections.add(caller)
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
+        """Close the connections on which no request is in progress or has just arrived."""
         for caller in list(self.connections):
-            if caller.phase is ConnectionPhase.IDLE:
+            if not caller.awaits_answer:
                 caller.close()
 
+    def unanswered_count(self) -> int:
+        """Return the number of connections with a request, or part of one, to be answered."""
+        return sum(1 for caller in self.connections if caller.awaits_answer)
+
     def _sweep(self) -> None:
         """Close the connections that have timed out."""
         now = self.clock.now()
@@ -277,6 +281,11 @@
             if not self._processing_events:
                 self._server.clock.after(0.0, self._process_events)
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether a request, or part of one, has arrived and is not answered completely."""
+        return self.phase is not ConnectionPhase.IDLE or self._conn.has_unread_bytes()
+
     def close(self) -> None:
         """Close the connection at once."""
         self._server.connections.discard(self)
--- a/briarpond/net/_outbound.py
+++ b/briarpond/net/_outbound.py
@@ -100,6 +100,13 @@
         """
         self._connector.half_close(self)
 
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def pause(self) -> None:
         """Stop reading, so that TCP flow control slows down the other side."""
         self._connector.set_reading(self, False)
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -317,3 +317,36 @@
     loop.clock.after(0.0, lambda: {}["missing"])
     loop.clock.after(0.05, lambda: fired.append(1))
     loop.wait_until(lambda: fired)
+
+
+def close_idle_while_bytes_are_unread(loop, server, client, data):
+    """Send bytes, and close idle connections before the loop reads them.
+
+    Returns the number of connections that are still to be answered.
+    """
+    unanswered = []
+
+    def send_and_close_idle():
+        client.sendall(data)
+        time.sleep(0.02)
+        server.close_idle()
+        unanswered.append(server.unanswered_count())
+
+    loop.clock.after(0.0, send_and_close_idle)
+    loop.wait_until(lambda: unanswered)
+    return unanswered[0]
+
+
+@pytest.mark.parametrize("cut", [None, 20])
+def test_request_that_arrived_just_before_a_planned_stop_is_answered(loop, cut):
+    """Guards against requests that a stop cuts off without an answer, whole or half read."""
+    server, port = serve(loop, echo([]))
+    data = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+    with socket.create_connection(("127.0.0.1", port)) as client:
+        client.settimeout(5)
+        loop.wait_until(lambda: server.connections)
+        assert close_idle_while_bytes_are_unread(loop, server, client, data[:cut]) == 1
+        if cut is not None:
+            client.sendall(data[cut:])
+        assert client.recv(1000).startswith(b"HTTP/1.1 200")
+        loop.wait_until(lambda: server.unanswered_count() == 0)
