A planner that stops says so, and the next one takes over in 0.3 s instead of 1 s

Cause: the lease moves among healthy candidates whenever one of them comes or goes; the next holder waited 1 s because the previous planner might still act.

Change: nodes say whether they plan; a planner that stops tells the candidates and relays. Without that word the wait stays 1 s.

--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -215,6 +215,7 @@
         member.leaving,
         member.candidate,
         member.gone,
+        member.planning,
     )
 
 
@@ -229,6 +230,7 @@
         wire.leaving,
         wire.candidate,
         wire.gone,
+        bool(wire.planning),
     )
 
 
--- a/briarpond/directory/_members.py
+++ b/briarpond/directory/_members.py
@@ -40,6 +40,8 @@
         Time from which the node should have been heard if it lives.
     changed_at : float
         Time of the last change.
+    planning_ended_at : float
+        Time at which it was learnt that the node had stopped planning.
     """
 
     member: Member
@@ -47,6 +49,7 @@
     heard_at: float
     known_since: float
     changed_at: float
+    planning_ended_at: float = float("-inf")
 
 
 class MemberTable:
@@ -288,6 +291,13 @@
         """Return the other live nodes that apply for the planner's lease."""
         return [member for member in self.live(now) if member.candidate]
 
+    def planning_ended_at(self, node: NodeId) -> float | None:
+        """Return when another node said that it stopped planning; None if it plans or never did."""
+        entry = self._entries.get(node)
+        if entry is None or entry.member.planning or entry.planning_ended_at == float("-inf"):
+            return None
+        return entry.planning_ended_at
+
     def host(self, node: NodeId) -> str | None:
         """Return the host of another node; None if the node is not known."""
         entry = self._entries.get(node)
@@ -342,6 +352,8 @@
 
     def _set(self, entry: _Entry, member: Member, now: float) -> None:
         self.change_count += 1
+        if entry.member.planning and not member.planning:
+            entry.planning_ended_at = now
         entry.member = member
         entry.change = self.change_count
         entry.changed_at = now
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -255,6 +255,8 @@
         Whether the node applies for the planner's lease and reaches the store.
     gone : bool
         Whether a relay no longer hears the node. Only this field is set by other nodes.
+    planning : bool
+        Whether the node plans at present.
     """
 
     node: NodeId
@@ -266,6 +268,7 @@
     leaving: bool
     candidate: bool = False
     gone: bool = False
+    planning: bool = False
 
 
 class Pull(msgspec.Struct, frozen=True):
--- a/briarpond/directory/_sync.py
+++ b/briarpond/directory/_sync.py
@@ -389,7 +389,8 @@
         """Return notices with this node's state, stalled servers or changes of the plan.
 
         They go to the relays: those of all data centres for the plan or a configuration,
-        otherwise those of the own data centre; stalled servers also go to the planner.
+        otherwise those of the own data centre; stalled servers also go to the planner, and
+        what a candidate says of itself to the other candidates.
         """
         notice = self._notice(now, stalled, delta)
         hosts = []
@@ -400,6 +401,8 @@
             hosts += hosts_of(self.members.relays(data_centre, now))
         if stalled:
             hosts += self._planner_host(now)
+        elif own.candidate and delta is None:
+            hosts += hosts_of(self.members.candidates(now))
         outgoing = self._notices_to(hosts, notice)
         if self.members.is_relay(now):
             outgoing += self._relay(notice, hosts, now)
--- a/briarpond/directory/exchange.thrift
+++ b/briarpond/directory/exchange.thrift
@@ -84,7 +84,8 @@
   7: required bool ready,
   8: required bool leaving,
   9: required bool candidate,
-  10: required bool gone
+  10: required bool gone,
+  11: optional bool planning
 }
 
 /** How long ago a relay of a data centre vouched for its nodes. */
--- a/briarpond/directory/gen/exchange/ttypes.py
+++ b/briarpond/directory/gen/exchange/ttypes.py
@@ -884,11 +884,12 @@
      - leaving
      - candidate
      - gone
+     - planning
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, revision=None, host=None, port=None, data_centre=None, ready=None, leaving=None, candidate=None, gone=None,):
+    def __init__(self, node=None, incarnation=None, revision=None, host=None, port=None, data_centre=None, ready=None, leaving=None, candidate=None, gone=None, planning=None,):
         self.node = node
         self.incarnation = incarnation
         self.revision = revision
@@ -899,6 +900,7 @@
         self.leaving = leaving
         self.candidate = candidate
         self.gone = gone
+        self.planning = planning
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -959,6 +961,11 @@
                     self.gone = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.planning = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1009,6 +1016,10 @@
             oprot.writeFieldBegin('gone', TType.BOOL, 10)
             oprot.writeBool(self.gone)
             oprot.writeFieldEnd()
+        if self.planning is not None:
+            oprot.writeFieldBegin('planning', TType.BOOL, 11)
+            oprot.writeBool(self.planning)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1777,6 +1788,7 @@
     (8, TType.BOOL, 'leaving', None, None, ),  # 8
     (9, TType.BOOL, 'candidate', None, None, ),  # 9
     (10, TType.BOOL, 'gone', None, None, ),  # 10
+    (11, TType.BOOL, 'planning', None, None, ),  # 11
 )
 all_structs.append(DataCentreAge)
 DataCentreAge.thrift_spec = (
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -473,6 +473,7 @@
             "ready": self.ready,
             "leaving": self.state.leaving,
             "candidate": self._lease.is_candidate(self._clock.now()),
+            "planning": self._planner.planning,
         }
 
     def _callbacks(self) -> SyncCallbacks:
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -29,8 +29,8 @@
 # A new holder of the lease waits this long before it plans, because the previous planner may
 # still act for this time after the lease has moved.
 TAKE_OVER_DELAY_S = 1.0
-# The same if no plan of another planner arrives: the lease of the previous planner has then
-# expired by that planner's own clock.
+# The same if the previous planner has said that it stopped, or if no plan of another planner
+# arrives: the lease of the previous planner has then expired by that planner's own clock.
 TAKE_OVER_DELAY_IF_SILENT_S = 0.3
 # Timeouts of an order to an instance and of a probe.
 ORDER_TIMEOUT_S = 0.4
@@ -167,14 +167,19 @@
             # No group was listed after this node got the lease, and opening one takes longer
             # than it takes until the previous planner's orders are rejected by their epoch.
             return True
-        wait_s = (
-            TAKE_OVER_DELAY_S if self._state.planner_is_heard(now) else TAKE_OVER_DELAY_IF_SILENT_S
-        )
-        return (
-            now - lease_since >= wait_s
-            and known_until is not None
-            and known_until >= lease_since + wait_s
-        )
+        begins_at = self._previous_planner_stopped_at(lease_since, now)
+        return now >= begins_at and known_until is not None and known_until >= begins_at
+
+    def _previous_planner_stopped_at(self, lease_since: float, now: float) -> float:
+        """Return the time from which the previous planner certainly does not act any more."""
+        previous = self._state.planner
+        members = self._peers.sync.members
+        ended_at = None if previous is None else members.planning_ended_at(previous)
+        if ended_at is not None and ended_at >= lease_since - TAKE_OVER_DELAY_S:
+            return max(lease_since, ended_at) + TAKE_OVER_DELAY_IF_SILENT_S
+        if self._state.planner_is_heard(now):
+            return lease_since + TAKE_OVER_DELAY_S
+        return lease_since + TAKE_OVER_DELAY_IF_SILENT_S
 
     @property
     def taking_over(self) -> bool:
@@ -214,6 +219,7 @@
             log_event("planner_stop", term=self._term)
             self._planners.clear()
             self._stages.clear()
+            self._peers.announce()
 
     def _step_service(self, spec: ServiceSpec, now: float) -> None:
         """Plan for one service: update its planner, probe instances, send orders."""
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -264,3 +264,12 @@
     sync.next_pull(10.3)
     sync.on_answer(answer.message, 10.31)
     assert not sync.is_connected(10.31)
+
+
+def test_end_of_planning_is_known_until_the_node_plans_again():
+    table = table_with(member("1"), member("2", planning=True))
+    assert table.planning_ended_at("2") is None
+    table.heard(msgspec.structs.replace(member("2"), revision=2), 11.0)
+    assert table.planning_ended_at("2") == 11.0
+    table.heard(msgspec.structs.replace(member("2"), revision=3, planning=True), 12.0)
+    assert table.planning_ended_at("2") is None
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -21,9 +21,14 @@
     lease = SimpleNamespace(
         term=7, held_since=now, holds=lambda now: True, expired_while_held=lambda now: False
     )
-    sync = SimpleNamespace(demand=lambda now: (), plan_log=PlanLog())
+    gateway.members = SimpleNamespace(
+        planning_ended_at=lambda node: None, no_node_reaches_store=lambda now: False
+    )
+    sync = SimpleNamespace(demand=lambda now: (), plan_log=PlanLog(), members=gateway.members)
     gateway.announced = []
-    peers = SimpleNamespace(sync=sync, announce=lambda delta: gateway.announced.append(delta))
+    peers = SimpleNamespace(
+        sync=sync, announce=lambda delta=None: delta and gateway.announced.append(delta)
+    )
     runner = PlannerRunner(state, lease, peers, gateway.clock.now)
     return gateway, runner
 
@@ -126,7 +131,6 @@
     (planner,) = runner._planners.values()
     runner._lease.holds = lambda now: False
     runner._lease.expired_while_held = lambda now: True
-    runner._peers.sync.members = SimpleNamespace(no_node_reaches_store=lambda now: False)
     announced = len(gateway.announced)
     assert step_after(node, 0.3)
     assert len(gateway.announced) == announced
@@ -142,9 +146,31 @@
     (planner,) = runner._planners.values()
     runner._lease.holds = lambda now: False
     runner._lease.expired_while_held = lambda now: True
-    runner._peers.sync.members = SimpleNamespace(no_node_reaches_store=lambda now: False)
     step_after(node, 0.1)
     runner._lease.holds = lambda now: True
     runner._lease.term += 2
     step_after(node, 0.1)
     assert planner not in runner._planners.values()
+
+
+def test_take_over_is_quick_once_the_previous_planner_has_said_that_it_stopped(node):
+    """The lease moves among healthy candidates whenever one of them comes or goes."""
+    gateway, runner = node
+    state = gateway.state
+    state.planner = "n2"
+    state.planner_heard(gateway.clock.now())
+    gateway.members.planning_ended_at = lambda node: None
+    assert not step_after(node, 0.4)
+    stopped_at = gateway.clock.now()
+    gateway.members.planning_ended_at = {"n2": stopped_at}.get
+    assert not step_after(node, 0.2)
+    assert step_after(node, 0.15)
+
+
+def test_stop_of_an_earlier_planner_says_nothing_about_the_previous_one(node):
+    gateway, runner = node
+    state = gateway.state
+    state.planner = "n2"
+    gateway.members.planning_ended_at = {"n2": gateway.clock.now() - 5.0}.get
+    state.planner_heard(gateway.clock.now() + 0.3)
+    assert not step_after(node, 0.5)
