The configuration in force has a keeper of its own

What decides whether a node reads the configuration from the store, takes it from another node or waits stood in the module that connects a node's parts. No change of behaviour; tests for it.

--- /dev/null
+++ b/briarpond/gateway/_config_keeper.py
@@ -0,0 +1,183 @@
+"""The configuration in force on a node: where it comes from, and how old it may be."""
+
+from collections.abc import Callable, Sequence
+
+from briarpond.directory import ConfigRecord, ConfigStatus
+from briarpond.logs import log_event, log_warning
+from briarpond.net import HttpReply, HttpRequest
+from briarpond.platform import CONFIG_KEY, CONFIG_TOPIC, KeyedRecord, decode_configuration
+from briarpond.routes import GatewayConfiguration, RouteTable
+
+from ._config_exchange import ConfigExchange
+from ._state import NodeState
+from ._store_link import READ_WAIT_S, StoreClient, TopicFeed
+
+# A node need not read the configuration if a candidate confirmed it within the last
+# CONFIRMATION_LIFETIME_S, and if it was the newest at most CONFIRMED_MAX_AGE_S ago.
+CONFIRMATION_LIFETIME_S = 1.5
+CONFIRMED_MAX_AGE_S = 2.4
+# Longest wait of a read of the configuration on a candidate for the lease, which confirms the
+# configuration to the other nodes.
+CANDIDATE_READ_WAIT_S = 1.0
+
+
+class ConfigKeeper:
+    """Puts the newest configuration into force, from the store or from other nodes.
+
+    Candidates for the planner's lease follow the store. The others get the configuration and
+    its confirmations from nodes that have them, and read the store only if these fail.
+
+    Parameters
+    ----------
+    state : NodeState
+        Holds the configuration in force.
+    store : StoreClient
+        Client of the store.
+    is_candidate : callable
+        Returns whether this node applies for the planner's lease.
+    may_read_store : callable
+        Takes the present time; returns whether a node without a configuration may read it
+        from the store instead of waiting for other nodes.
+    on_applied : callable
+        Takes each configuration that was put into force.
+    on_store_regained : callable
+        Called at the first answer of the store after one or more failures, with the seconds
+        since the last failure.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        store: StoreClient,
+        is_candidate: Callable[[], bool],
+        may_read_store: Callable[[float], bool],
+        on_applied: Callable[[GatewayConfiguration], None],
+        on_store_regained: Callable[[float], None],
+    ) -> None:
+        self._state = state
+        self._clock = state.clock
+        self._is_candidate = is_candidate
+        self._may_read_store = may_read_store
+        self._on_applied = on_applied
+        self._confirmed_at = float("-inf")
+        self._newest_version = 0
+        self._feed = TopicFeed(
+            store,
+            state.clock,
+            CONFIG_TOPIC,
+            self._on_entries,
+            self._on_entries,
+            on_regained=on_store_regained,
+            is_wanted=self._needs_store,
+            wait_s=self._store_wait_s,
+        )
+        self._exchange = ConfigExchange(
+            state.clock, state.client, state.settings.peer_port, self.age, self._on_record
+        )
+
+    def start(self) -> None:
+        """Start to follow the configuration."""
+        self._feed.start()
+
+    def age(self, now: float) -> float | None:
+        """Return the seconds since the configuration in force was certainly the newest.
+
+        None if that is not known.
+        """
+        return self._feed.age(now)
+
+    def status(self, now: float) -> ConfigStatus | None:
+        """Return the version of the configuration in force and its age; None without one."""
+        config = self._state.config
+        age = self.age(now)
+        if config is None or age is None:
+            return None
+        return ConfigStatus(config.version, age)
+
+    def answer_node(self, request: HttpRequest, reply: HttpReply) -> None:
+        """Answer another node's request for the record of the configuration."""
+        self._exchange.answer(request, reply)
+
+    def on_status(self, status: ConfigStatus, newest_at: float) -> None:
+        """Use what another node knows of the configuration that is in force here, too."""
+        now = self._clock.now()
+        config = self._state.config
+        if config is None or config.version != status.version:
+            return
+        self._feed.confirm(newest_at)
+        if now - newest_at < CONFIRMED_MAX_AGE_S:
+            self._confirmed_at = now
+
+    def on_version(self, version: int, host: str) -> None:
+        """Fetch a configuration that another node has if it is newer than the one here."""
+        self._newest_version = max(self._newest_version, version)
+        config = self._state.config
+        if config is None or config.version < version:
+            self._exchange.fetch(version, host)
+
+    def _needs_store(self) -> bool:
+        """Whether this node must read the configuration from the store itself.
+
+        A candidate for the lease always does. Another node does unless a candidate confirmed a
+        short time ago that its configuration is the newest, or a newer one can be expected
+        from another node.
+        """
+        now = self._clock.now()
+        if self._is_candidate():
+            return True
+        if self._exchange.may_deliver(now):
+            return False
+        config = self._state.config
+        if config is None:
+            return self._may_read_store(now)
+        age = self.age(now)
+        confirmed = (
+            now - self._confirmed_at <= CONFIRMATION_LIFETIME_S
+            and age is not None
+            and age < CONFIRMED_MAX_AGE_S
+        )
+        return not (confirmed and config.version >= self._newest_version)
+
+    def _store_wait_s(self) -> float:
+        """Return for how many seconds the store may hold back a read of the configuration.
+
+        Candidates wait less than other nodes, because they confirm the configuration to the
+        others and must have read it recently. A node whose configuration was confirmed
+        recently asks the store to answer at once.
+        """
+        if self._is_candidate():
+            return CANDIDATE_READ_WAIT_S
+        is_confirmed = self._clock.now() - self._confirmed_at <= CONFIRMATION_LIFETIME_S
+        return 0.0 if is_confirmed else READ_WAIT_S
+
+    def _on_record(self, record: ConfigRecord, newest_at: float) -> None:
+        self._feed.adopt(record.offset + 1, newest_at)
+        self._apply(KeyedRecord(CONFIG_KEY, record.value, record.offset))
+
+    def _on_entries(self, entries: Sequence[KeyedRecord]) -> None:
+        for entry in entries:
+            if entry.key == CONFIG_KEY and entry.value is not None:
+                self._apply(entry)
+
+    def _apply(self, entry: KeyedRecord) -> None:
+        """Put a configuration into force unless it is older than the present one."""
+        assert entry.value is not None
+        decoded = decode_configuration(entry.value)
+        if decoded.is_error():
+            log_warning("config_unreadable", offset=entry.offset, error=decoded.error)
+            return
+        config: GatewayConfiguration = decoded.ok
+        current = self._state.config
+        if current is not None and config.version <= current.version:
+            return
+        self._state.route_table = RouteTable(config)
+        self._state.metrics.config_version.set({}, config.version)
+        log_event(
+            "config_in_force",
+            version=config.version,
+            routes=len(config.routes),
+            tenants=len(config.tenants),
+            offset=entry.offset,
+        )
+        self._exchange.set_record(entry.offset, entry.value)
+        self._on_applied(config)
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable, Sequence
 
 from briarpond.directory import (
-    ConfigRecord,
-    ConfigStatus,
     Member,
     Plan,
     PlanStatus,
@@ -26,19 +24,16 @@
     TcpListener,
 )
 from briarpond.platform import (
-    CONFIG_KEY,
-    CONFIG_TOPIC,
     INSTANCES_TOPIC,
     GatewaySettings,
     KeyedRecord,
-    decode_configuration,
     decode_instance,
     encode_addresses,
     parse_address_query,
 )
-from briarpond.routes import GatewayConfiguration, RouteTable
+from briarpond.routes import GatewayConfiguration
 
-from ._config_exchange import ConfigExchange
+from ._config_keeper import ConfigKeeper
 from ._ingress import Ingress
 from ._lease import MAX_CANDIDATES, PlannerLease
 from ._peers import PeerLink
@@ -78,13 +73,6 @@
 # Share of `bounds.revoke_within_s` up to which the configuration may be old on a ready node. It is
 # less than KEYS_MAX_AGE_SHARE, so that callers are sent elsewhere before keys are refused.
 READY_MAX_AGE_SHARE = 0.6
-# A node need not read the configuration if a candidate confirmed it within the last
-# CONFIRMATION_LIFETIME_S, and if it was the newest at most CONFIRMED_MAX_AGE_S ago.
-CONFIRMATION_LIFETIME_S = 1.5
-CONFIRMED_MAX_AGE_S = 2.4
-# Longest wait of a read of the configuration on a candidate for the lease, which confirms the
-# configuration to the other nodes.
-CANDIDATE_READ_WAIT_S = 1.0
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
 
@@ -128,12 +116,14 @@
         self._on_stopped = on_stopped
         self._stop_began_at: float | None = None
         self._started_at = clock.now()
-        self._confirmed_at = float("-inf")
-        self._newest_config_version = 0
         self._store = StoreClient(settings.store.address, client)
-        self._config_feed = self._make_config_feed()
-        self._config_exchange = ConfigExchange(
-            clock, client, settings.peer_port, self._config_feed.age, self._on_config_record
+        self._config = ConfigKeeper(
+            self.state,
+            self._store,
+            lambda: self._lease.is_candidate(clock.now()),
+            self._may_read_store,
+            self._on_config_applied,
+            self._on_store_regained,
         )
         self._instances_feed = TopicFeed(
             self._store,
@@ -173,7 +163,7 @@
         self._planner = PlannerRunner(
             self.state, self._lease, self._peers, lambda: self._instances_feed.known_until
         )
-        self.ingress = Ingress(self.state, self._config_feed.age, self._on_stalled)
+        self.ingress = Ingress(self.state, self._config.age, self._on_stalled)
         self._caller_endpoint = HttpServer(clock, self.ingress.handle)
         self._listeners = [
             TcpListener(
@@ -182,7 +172,7 @@
         ]
         auxiliary_endpoints = {
             settings.readiness_address: HttpServer(clock, self._answer_auxiliary),
-            peer_address: HttpServer(clock, self._config_exchange.answer),
+            peer_address: HttpServer(clock, self._config.answer_node),
         }
         if settings.directory_address is not None:
             auxiliary_endpoints.setdefault(
@@ -203,13 +193,13 @@
         config = self.state.config
         if config is None or self.state.leaving:
             return False
-        age = self._config_feed.age(self._clock.now())
+        age = self._config.age(self._clock.now())
         max_age_s = self._settings.bounds.revoke_within_s * READY_MAX_AGE_SHARE
         return not config.requires_keys or (age is not None and age < max_age_s)
 
     def start(self) -> None:
         """Start all parts and the periodic tasks."""
-        self._config_feed.start()
+        self._config.start()
         self._instances_feed.start()
         self._registry.start()
         self._peers.start()
@@ -257,99 +247,7 @@
 
     # Configuration
 
-    def _make_config_feed(self) -> TopicFeed:
-        return TopicFeed(
-            self._store,
-            self._clock,
-            CONFIG_TOPIC,
-            self._on_config,
-            self._on_config,
-            on_regained=self._on_store_regained,
-            is_wanted=self._needs_config,
-            wait_s=self._config_wait_s,
-        )
-
-    def _needs_config(self) -> bool:
-        """Whether this node must read the configuration from the store itself.
-
-        A candidate for the lease always does. Another node does unless a candidate confirmed a
-        short time ago that its configuration is the newest, or a newer one can be expected
-        from another node.
-        """
-        now = self._clock.now()
-        config = self.state.config
-        if self._lease.is_candidate(now):
-            return True
-        if self._config_exchange.may_deliver(now):
-            return False
-        if config is None:
-            return now - self._started_at >= self._start_wait_s(now)
-        age = self._config_feed.age(now)
-        confirmed = (
-            now - self._confirmed_at <= CONFIRMATION_LIFETIME_S
-            and age is not None
-            and age < CONFIRMED_MAX_AGE_S
-        )
-        is_newest = config is not None and config.version >= self._newest_config_version
-        return not (confirmed and is_newest)
-
-    def _config_wait_s(self) -> float:
-        """Return for how many seconds the store may hold back a read of the configuration.
-
-        Candidates wait less than other nodes, because they confirm the configuration to the
-        others and must have read it recently. A node whose configuration was confirmed
-        recently asks the store to answer at once.
-        """
-        now = self._clock.now()
-        if self._lease.is_candidate(now):
-            return CANDIDATE_READ_WAIT_S
-        return 0.0 if now - self._confirmed_at <= CONFIRMATION_LIFETIME_S else READ_WAIT_S
-
-    def _config_status(self, now: float) -> ConfigStatus | None:
-        """Return the version of the configuration in force and when it was the newest."""
-        config = self.state.config
-        age = self._config_feed.age(now)
-        if config is None or age is None:
-            return None
-        return ConfigStatus(config.version, age)
-
-    def _on_config_status(self, status: ConfigStatus, newest_at: float) -> None:
-        """Use what another node knows of the configuration that is in force here, too."""
-        now = self._clock.now()
-        config = self.state.config
-        if config is None or config.version != status.version:
-            return
-        self._config_feed.confirm(newest_at)
-        if now - newest_at < CONFIRMED_MAX_AGE_S:
-            self._confirmed_at = now
-
-    def _on_config_version(self, version: int, host: str) -> None:
-        """Fetch a configuration that another node has if it is newer than the one here."""
-        self._newest_config_version = max(self._newest_config_version, version)
-        config = self.state.config
-        if config is None or config.version < version:
-            self._config_exchange.fetch(version, host)
-
-    def _on_config_record(self, record: ConfigRecord, newest_at: float) -> None:
-        self._config_feed.adopt(record.offset + 1, newest_at)
-        self._apply_config(KeyedRecord(CONFIG_KEY, record.value, record.offset))
-
-    def _on_config(self, entries: Sequence[KeyedRecord]) -> None:
-        for entry in entries:
-            if entry.key == CONFIG_KEY and entry.value is not None:
-                self._apply_config(entry)
-
-    def _apply_config(self, entry: KeyedRecord) -> None:
-        assert entry.value is not None
-        decoded = decode_configuration(entry.value)
-        if decoded.is_error():
-            log_warning("config_unreadable", offset=entry.offset, error=decoded.error)
-            return
-        config: GatewayConfiguration = decoded.ok
-        current = self.state.config
-        if current is not None and config.version <= current.version:
-            return
-        self.state.route_table = RouteTable(config)
+    def _on_config_applied(self, config: GatewayConfiguration) -> None:
         limits = config.limits
         self._caller_endpoint.limits = HttpServerLimits(
             limits.max_header_bytes,
@@ -357,19 +255,14 @@
             limits.header_timeout_s,
             limits.idle_timeout_s,
         )
-        self.state.metrics.config_version.set({}, config.version)
-        log_event(
-            "config_in_force",
-            version=config.version,
-            routes=len(config.routes),
-            tenants=len(config.tenants),
-            offset=entry.offset,
-        )
-        self._config_exchange.set_record(entry.offset, entry.value)
         now = self._clock.now()
         if self._lease.is_candidate(now) or self._peers.sync.members.is_relay(now):
             self._peers.announce()
 
+    def _may_read_store(self, now: float) -> bool:
+        """Whether the time is over in which this node waits for what other nodes know."""
+        return now - self._started_at >= self._start_wait_s(now)
+
     # Instances
 
     def _on_instances_snapshot(self, entries: Sequence[KeyedRecord]) -> None:
@@ -422,7 +315,7 @@
         now = self._clock.now()
         if self._planner.planning or self._lease.holds(now) or self._lease.is_preparing:
             return True
-        if self.state.plan is None and now - self._started_at < self._start_wait_s(now):
+        if self.state.plan is None and not self._may_read_store(now):
             return False
         return self.state.needs_instance_list(now)
 
@@ -480,10 +373,10 @@
         return SyncCallbacks(
             own_load=self.state.own_load,
             plan_status=self._plan_status,
-            config_status=self._config_status,
+            config_status=self._config.status,
             on_plan=self._on_plan_status,
-            on_config=self._on_config_status,
-            on_config_version=self._on_config_version,
+            on_config=self._config.on_status,
+            on_config_version=self._config.on_version,
             on_load=self.state.set_peer_load,
             on_stalled=self._on_stalled_elsewhere,
             on_members=self._on_members,
--- /dev/null
+++ b/tests/gateway/test_config_keeper.py
@@ -0,0 +1,134 @@
+"""Which nodes read the configuration from the store, and what is put into force.
+
+The pattern guarded against: settings that change often, each change read by every one of 195
+nodes; and a node that goes back to an older configuration.
+"""
+
+import zlib
+
+import pytest
+
+from briarpond.directory import ConfigRecord, ConfigStatus, encode_config_record
+from briarpond.gateway._config_keeper import CONFIRMED_MAX_AGE_S, ConfigKeeper
+from briarpond.gateway._state import NodeState
+from briarpond.platform import load_gateway_settings
+
+from ..platform_samples import SETTINGS, config_bytes
+from .test_config_exchange import FetchingClient
+from .world import VirtualClock
+
+
+class CountingStore:
+    """Counts the calls, which are never answered."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def call(self, request, timeout_s, on_answer, on_lost):
+        self.calls += 1
+
+
+class World:
+    """A configuration keeper, with other nodes whose answers the test gives."""
+
+    def __init__(self, tmp_path):
+        path = tmp_path / "node.yaml"
+        path.write_text(SETTINGS)
+        self.clock = VirtualClock()
+        self.client = FetchingClient()
+        self.store = CountingStore()
+        self.state = NodeState(load_gateway_settings(path).ok, self.clock, self.client)
+        self.is_candidate = False
+        self.may_read_store = False
+        self.applied = []
+        self.keeper = ConfigKeeper(
+            self.state,
+            self.store,
+            lambda: self.is_candidate,
+            lambda now: self.may_read_store,
+            lambda config: self.applied.append(config.version),
+            lambda failure_age_s: None,
+        )
+        self.keeper.start()
+
+    def deliver(self, version, value=None):
+        """Let another node offer a version, and deliver it if this node asks for it."""
+        self.keeper.on_version(version, "10.0.0.2")
+        if not self.client.fetches:
+            return
+        value = config_bytes(version=version) if value is None else value
+        record = ConfigRecord(version, 0.1, zlib.compress(value))
+        self.client.fetches.pop()[2](200, encode_config_record(record))
+
+    def confirm_for(self, version, seconds):
+        """Let relays confirm a version for a while, four times a second."""
+        for _ in range(int(seconds * 4)):
+            self.clock.advance(0.25)
+            self.keeper.on_status(ConfigStatus(version, 0.1), self.clock.now() - 0.1)
+
+
+@pytest.fixture
+def world(tmp_path):
+    return World(tmp_path)
+
+
+def test_configurations_come_from_other_nodes_without_a_call_to_the_store(world):
+    for version in range(8, 20):
+        world.deliver(version)
+        world.confirm_for(version, 2.0)
+    assert world.applied == list(range(8, 20))
+    assert world.store.calls == 0
+
+
+def test_age_follows_from_the_confirmations(world):
+    world.deliver(8)
+    world.confirm_for(8, 5.0)
+    assert world.keeper.age(world.clock.now()) == pytest.approx(0.1)
+    world.clock.advance(1.0)
+    assert world.keeper.age(world.clock.now()) == pytest.approx(1.1)
+
+
+def test_store_is_read_when_confirmations_stop(world):
+    world.deliver(8)
+    world.confirm_for(8, 2.0)
+    world.clock.advance(CONFIRMED_MAX_AGE_S + 0.5)
+    assert world.store.calls == 1
+
+
+def test_store_is_read_if_no_node_delivers_a_newer_configuration(world):
+    world.deliver(8)
+    world.confirm_for(8, 1.0)
+    world.keeper.on_version(9, "10.0.0.2")
+    world.confirm_for(8, 0.5)
+    assert world.store.calls == 0
+    world.confirm_for(8, 1.5)
+    assert world.store.calls == 1
+
+
+def test_candidate_reads_the_store(world):
+    world.deliver(8)
+    world.confirm_for(8, 0.5)
+    world.is_candidate = True
+    world.clock.advance(0.3)
+    assert world.store.calls == 1
+
+
+def test_older_configuration_is_never_put_into_force(world):
+    """Another node may still offer what was in force before."""
+    world.deliver(9)
+    world.deliver(8)
+    world.keeper._on_record(ConfigRecord(8, 0.0, config_bytes(version=8)), world.clock.now())
+    assert world.state.config.version == 9 and world.applied == [9]
+
+
+def test_confirmation_of_another_version_does_not_count(world):
+    world.deliver(9)
+    world.clock.advance(1.0)
+    world.keeper.on_status(ConfigStatus(8, 0.0), world.clock.now())
+    assert world.keeper.age(world.clock.now()) == pytest.approx(1.1)
+
+
+def test_unreadable_configuration_changes_nothing(world):
+    world.deliver(8)
+    world.deliver(9, b"not a configuration")
+    assert world.state.config.version == 8
