--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -61,9 +61,6 @@
 # read was sent, and the next wait must end before the planner's list counts as old
 # (`plan_lifetime_s`).
 PLANNER_READ_WAIT_S = 0.5
-# While a feed is wanted, failed reads are repeated within this time. If the last failure is
-# longer ago, the feed was not followed in between and the outage may have ended long before.
-MAX_RETRY_GAP_S = 2.0
 # How often the number of nodes is counted and state of lost nodes and instances is dropped.
 HOUSEKEEPING_INTERVAL_S = 1.0
 # How often instances that are still missing after an outage of the store are looked for.
@@ -339,9 +336,7 @@
         return PLANNER_READ_WAIT_S if follows_closely else READ_WAIT_S
 
     def _on_store_regained(self, failure_age_s: float) -> None:
-        """Report the end of a store outage to the fleet view."""
-        was_retried = failure_age_s <= MAX_RETRY_GAP_S
-        self.state.fleet.outage_ended(self._clock.now(), was_retried)
+        self.state.on_store_regained(failure_age_s, self._clock.now())
 
     # Nodes
 
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -44,6 +44,11 @@
 TARGET_FILL = 0.7
 
 
+# While a feed is wanted, failed reads are repeated within this time. If the last failure is
+# longer ago, the feed was not followed in between and the outage may have ended long before.
+MAX_RETRY_GAP_S = 2.0
+
+
 def plan_lifetime_s(drain_within_s: float) -> float:
     """Return for how long a plan may be used without a newer view of the instance list.
 
@@ -178,6 +183,24 @@
                 known_at = confirmed_at if list_known_at is None else list_known_at
                 self._plan_list_known_at = max(self._plan_list_known_at, known_at)
 
+    def on_store_regained(self, failure_age_s: float, now: float) -> None:
+        """Begin the grace period of the instance list after an outage of the store.
+
+        Nothing happens if the list was read since the failure: its own feed has then noticed
+        the outage, and another feed, which was not followed in between, reports it late.
+
+        Parameters
+        ----------
+        failure_age_s : float
+            Seconds since the last failure of the feed that has got an answer.
+        now : float
+            Present time.
+        """
+        known_until = self.list_known_until()
+        if known_until is not None and known_until > now - failure_age_s:
+            return
+        self.fleet.outage_ended(now, failure_age_s <= MAX_RETRY_GAP_S)
+
     def planner_heard(self, at: float) -> None:
         """Record that the planner, another node, had its plan at a time."""
         self._planner_heard_at = max(self._planner_heard_at, at)
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -80,3 +80,21 @@
     state.fleet.expire_missing(clock.now())
     assert state.fleet.get("p0") is not None
     assert "p0" not in {each.instance for each in state.own_targets().servers}
+
+
+def test_outage_that_the_list_has_outlived_does_not_delay_planning_again(node):
+    """Guards against a second grace period, seen in an incident: 2 s without a planner.
+
+    A candidate had followed the list again for 2.5 s when its configuration feed, which had
+    not been followed, reported the end of the same outage.
+    """
+    state, clock = node.state, node.clock
+    state.on_store_regained(0.2, clock.now())
+    assert not state.fleet.is_complete(clock.now())
+    clock.time += 2.6
+    node.list_read_at = clock.now()
+    assert state.fleet.is_complete(clock.now())
+    state.on_store_regained(9.0, clock.now())
+    assert state.fleet.is_complete(clock.now())
+    state.on_store_regained(0.0, clock.now())
+    assert not state.fleet.is_complete(clock.now())
