--- a/briarpond/directory/_sync.py
+++ b/briarpond/directory/_sync.py
@@ -50,6 +50,8 @@
 MAX_ANSWER_AGE_S = 1.0
 # A node that has met no new node for this long has met all that are there.
 QUIET_S = 0.5
+# After a restart a node waits no longer than this for more nodes to appear: callers are there.
+RESTART_SETTLING_S = 1.0
 # Interval of the pulls of a node that knows no other one.
 SEARCH_INTERVAL_S = 0.25
 
@@ -135,6 +137,8 @@
         Chooses among relays of other data centres.
     now : float
         Present time.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
 
     Attributes
     ----------
@@ -145,13 +149,19 @@
     """
 
     def __init__(
-        self, own: Member, callbacks: SyncCallbacks, rng: random.Random, now: float
+        self,
+        own: Member,
+        callbacks: SyncCallbacks,
+        rng: random.Random,
+        now: float,
+        is_first_start: bool = False,
     ) -> None:
         self.members = MemberTable(own)
         self.plan_log = PlanLog()
         self._callbacks = callbacks
         self._rng = rng
         self._started_at = now
+        self._is_first_start = is_first_start
         self._contacts: list[str] = []
         self._cursors: dict[str, _Cursor] = {}
         self._pending: dict[str, _PendingPull] = {}
@@ -176,7 +186,8 @@
 
     def is_settled(self, now: float) -> bool:
         """Whether this node has had time to learn of the others, and no more have appeared."""
-        return now - self._appeared_at >= QUIET_S or now - self._started_at >= SETTLING_S
+        longest_s = SETTLING_S if self._is_first_start else RESTART_SETTLING_S
+        return now - self._appeared_at >= QUIET_S or now - self._started_at >= longest_s
 
     def next_pull(self, now: float) -> tuple[Outgoing | None, float]:
         """Return the pull that is due, and the seconds until the next one is.
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -136,7 +136,13 @@
         self.state.list_known_until = lambda: self._instances_feed.known_until
         peer_address = Address(settings.host, settings.peer_port)
         self._peers = PeerLink(
-            clock, poller, peer_address, self._own_member(), self._callbacks(), self._describe
+            clock,
+            poller,
+            peer_address,
+            self._own_member(),
+            self._callbacks(),
+            self._describe,
+            settings.first_start,
         )
         clock += self._peers
         sync = self._peers.sync
--- a/briarpond/gateway/_peers.py
+++ b/briarpond/gateway/_peers.py
@@ -47,6 +47,8 @@
         Connection to the rest of the node.
     describe : callable
         Returns the fields of this node's description that may have changed.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
 
     Attributes
     ----------
@@ -64,9 +66,10 @@
         own: Member,
         callbacks: SyncCallbacks,
         describe: Callable[[], dict[str, bool]],
+        is_first_start: bool,
     ) -> None:
         super().__init__()
-        self.sync = PeerSync(own, callbacks, random.Random(), clock.now())
+        self.sync = PeerSync(own, callbacks, random.Random(), clock.now(), is_first_start)
         self._clock = clock
         self._port = address.port
         self._describe = describe
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -229,7 +229,7 @@
     assert set(subtract_load(sum_loads([LOAD, other]), LOAD).servers) == set(other.servers)
 
 
-def make_sync(own, on_load):
+def make_sync(own, on_load=lambda source, load: None, is_first_start=False):
     nothing = SyncCallbacks(
         own_load=lambda now: Load(),
         plan_status=lambda now: None,
@@ -241,7 +241,7 @@
         on_stalled=lambda servers: None,
         on_members=lambda appeared, gone: None,
     )
-    return PeerSync(own, nothing, random.Random(1), 10.0)
+    return PeerSync(own, nothing, random.Random(1), 10.0, is_first_start)
 
 
 def test_load_of_another_node_is_dropped_when_it_is_not_repeated():
@@ -273,3 +273,21 @@
     assert table.planning_ended_at("2") == 11.0
     table.heard(msgspec.structs.replace(member("2"), revision=3, planning=True), 12.0)
     assert table.planning_ended_at("2") is None
+
+
+@pytest.mark.parametrize(("is_first_start", "settled_at"), [(True, 13.0), (False, 11.0)])
+def test_candidates_do_not_wait_until_the_last_of_many_nodes_has_restarted(
+    is_first_start, settled_at
+):
+    """After a loss of power all nodes start again, and new ones appear for seconds.
+
+    Who is to plan, and who is to read the instance list for all, must not wait for that: every
+    request is refused until then.
+    """
+    sync = make_sync(member("1"), is_first_start=is_first_start)
+    now = 10.0
+    while now < settled_at - 0.05:
+        now += 0.1
+        sync.on_pull(Pull(member(f"{now:.1f}"), 1, 0, 0, PlanVersion(), 0, Load()), now)
+        assert not sync.is_settled(now - 0.06)
+    assert sync.is_settled(settled_at + 0.06)
