--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -28,7 +28,7 @@
     decode_datagram,
     encode_datagram,
 )
-from briarpond.directory._sync import subtract_load, sum_loads
+from briarpond.directory._loads import subtract_load, sum_loads
 from briarpond.net import Address
 
 GROUP = GroupTarget("g", 3000001, "m", "i", Address("10.0.0.2", 81), "a")
