Relays pass on only the version of the configuration that they have

Change: relays announce a configuration themselves once they have it; notices that carry only a version are not passed on.

--- a/briarpond/directory/_sync.py
+++ b/briarpond/directory/_sync.py
@@ -322,6 +322,9 @@
             self._callbacks.on_stalled(notice.stalled)
         if notice.relayed or not self.members.is_relay(now):
             return []
+        if notice.delta is None and not notice.stalled:
+            # A relay announces a new configuration itself, once it has it to pass on.
+            return []
         if notice.delta is not None and self.plan_log.version == known:
             return []
         sender_host = notice.sender.caller_address.host
@@ -333,7 +336,13 @@
         relays = hosts_of(self.members.relays(own.data_centre, now))
         near = [each for each in self.members.live(now) if each.data_centre == own.data_centre]
         hosts = [host for host in hosts_of(near) if host not in relays and host not in except_hosts]
-        relayed = msgspec.structs.replace(notice, sender=own, relayed=True)
+        config = self._callbacks.config_status(now)
+        relayed = msgspec.structs.replace(
+            notice,
+            sender=own,
+            config_version=0 if config is None else config.version,
+            relayed=True,
+        )
         return self._notices_to(hosts, relayed)
 
     def _notice(
--- a/briarpond/dispatch/_load.py
+++ b/briarpond/dispatch/_load.py
@@ -119,7 +119,7 @@
         )
 
     def own_load_rows(self) -> list[tuple[InstanceId, int, int]]:
-        """Return the load from this node for its heartbeat.
+        """Return the load from this node, to tell other nodes.
 
         A row has the server, its requests in flight and their unread prompt tokens;
         servers without requests of this node are left out.
--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -11,7 +11,7 @@
 
 # How often a candidate renews its membership of the lease group.
 RENEW_INTERVAL_S = 0.3
-# Wait before the first application, so that heartbeats of other nodes can arrive.
+# Wait before the first application, in which this node learns of others.
 FIRST_APPLY_DELAY_S = 0.3
 # Largest number of nodes that apply for the lease at the same time. Every change of the
 # members may move the lease, so more candidates would only move it more often.
@@ -82,7 +82,7 @@
         self._stopped = False
 
     def start(self) -> None:
-        """Start to apply, after a delay in which heartbeats of other nodes can arrive."""
+        """Start to apply, after a delay in which this node learns of others."""
         self._clock.after(FIRST_APPLY_DELAY_S, self._renew)
 
     def stop(self) -> None:
--- a/briarpond/platform/_settings.py
+++ b/briarpond/platform/_settings.py
@@ -107,7 +107,7 @@
         Addresses to listen on: for requests of callers, for the readiness check and
         for look-ups in the directory; without `directory_address` there are no look-ups.
     peer_port : int
-        UDP port for heartbeats between nodes, the same on all of them.
+        Port for the exchange between nodes (UDP and TCP), the same on all of them.
     store : StoreSettings
         Access to the platform's store.
     bounds : BoundSettings
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -291,3 +291,17 @@
         sync.on_pull(Pull(member(f"{now:.1f}"), 1, 0, 0, PlanVersion(), 0, Load()), now)
         assert not sync.is_settled(now - 0.06)
     assert sync.is_settled(settled_at + 0.06)
+
+
+def test_relay_does_not_pass_on_the_version_of_a_configuration_that_it_has_not_got():
+    """The nodes of its data centre would ask it for that version in vain."""
+    sync = make_sync(member("9"))
+    sync.on_pull(Pull(member("1"), 1, 0, 0, PlanVersion(), 0, Load()), 10.0)
+    sync.on_pull(Pull(member("8"), 1, 0, 0, PlanVersion(), 0, Load()), 10.0)
+    sync.on_pull(Pull(member("7"), 1, 0, 0, PlanVersion(), 0, Load()), 10.0)
+    for name in "123456":
+        sync.on_pull(Pull(member(name), 1, 0, 0, PlanVersion(), 0, Load()), 10.0)
+    assert sync.members.is_relay(10.0)
+    assert sync.on_notice(Notice(member("x", "b"), config_version=12), 10.0) == []
+    passed_on = sync.on_notice(Notice(member("1"), ("i",), 12), 10.0)
+    assert passed_on and {each.message.config_version for each in passed_on} == {0}
