A planner continues only if it held the lease all the time or gets the same term back

Cause: whether planning may go on was judged by the planner's own last step. A process that was suspended takes no steps: it would have gone on with the groups it knew under a later term, although another node had planned in between. A test of that failed first.

Change: the lease tells since when it has been held without interruption.

--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -73,8 +73,8 @@
         self._probes: dict[InstanceId, Exchange] = {}
         self._probed_at: dict[InstanceId, float] = {}
         self._term = 0
-        # Whether the last step planned; False after a pause in which the lease had expired.
-        self._was_planning = False
+        # Since when this node held the lease without interruption when it last planned.
+        self._held_since = float("-inf")
         self._group_numbers = itertools.count(1)
         self._stages: dict[str, GroupStage] = {}
 
@@ -116,13 +116,11 @@
         config = state.config
         if config is None or state.leaving or not self._may_plan(now):
             if self._is_paused(now):
-                self._was_planning = False
                 return
             self._stop_planning()
             if self.taking_over:
                 self._publish_listed_groups(now)
             return
-        self._was_planning = True
         for spec in config.services.values():
             if spec.engine is not None and spec.engine.models:
                 self._step_service(spec, now)
@@ -140,13 +138,22 @@
     def _may_plan(self, now: float) -> bool:
         """Whether this node may plan now: it holds the lease, or no node can get it."""
         if self._lease.holds(now):
-            if self._planners and (self._was_planning or self._lease.term == self._term):
+            if self._planners and self._may_continue():
+                self._held_since = self._lease.held_since
                 self._adopt_new_term()
                 return True
             self._stop_planning()
             return self._may_take_over(now)
         return self._may_go_on_without_store(now)
 
+    def _may_continue(self) -> bool:
+        """Whether nobody else can have planned since this node began.
+
+        It has held the lease without interruption, or got it back with the same term.
+        """
+        lease = self._lease
+        return lease.held_since == self._held_since or lease.term == self._term
+
     def _may_go_on_without_store(self, now: float) -> bool:
         """Whether this node was the last planner and no node can get the lease at present."""
         return (
@@ -244,6 +251,7 @@
         assert spec.engine is not None
         bounds = self._state.settings.bounds
         self._term = self._lease.term
+        self._held_since = self._lease.held_since
         engine = spec.engine
         load_budget = LoadBudget(
             engine.load_starts_per_s, engine.max_concurrent_loads, bounds.weight_load_window_s
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -141,18 +141,43 @@
 
 def test_planning_begins_anew_if_the_term_changed_while_the_lease_had_expired(node):
     """Another node may have planned in between."""
-    _, runner = node
+    gateway, runner = node
     assert step_after(node, 0.5)
     (planner,) = runner._planners.values()
     runner._lease.holds = lambda now: False
     runner._lease.expired_while_held = lambda now: True
     step_after(node, 0.1)
     runner._lease.holds = lambda now: True
+    runner._lease.held_since = gateway.clock.now()
     runner._lease.term += 2
     step_after(node, 0.1)
     assert planner not in runner._planners.values()
 
 
+def test_planner_that_was_suspended_begins_anew_when_it_has_a_later_term(node):
+    """Guards against orders of a process that was paused while another node planned.
+
+    It did not see its lease expire: it holds one before and after, but not the same.
+    """
+    gateway, runner = node
+    assert step_after(node, 0.5)
+    (planner,) = runner._planners.values()
+    gateway.clock.time += 5.0
+    runner._lease.held_since = gateway.clock.now()
+    runner._lease.term += 2
+    assert not step_after(node, 0.1)
+    assert planner not in runner._planners.values()
+
+
+def test_planning_goes_on_through_a_new_term_of_a_lease_held_without_interruption(node):
+    _, runner = node
+    assert step_after(node, 0.5)
+    (planner,) = runner._planners.values()
+    runner._lease.term += 1
+    assert step_after(node, 0.1)
+    assert list(runner._planners.values()) == [planner]
+
+
 def test_take_over_is_quick_once_the_previous_planner_has_said_that_it_stopped(node):
     """The lease moves among healthy candidates whenever one of them comes or goes."""
     gateway, runner = node
