Log and count each send that gets no complete answer

Cause: the line of a request states only its last reason, so the logs could not tell repeats of one request from new ones, nor which prompt parts were on a server when it ended. Change: event send_lost and counter briarpond_gateway_lost_sends_total; the parts of a prompt are read, at most 64 of them. No decision uses them yet.

--- a/briarpond/dispatch/_load.py
+++ b/briarpond/dispatch/_load.py
@@ -118,6 +118,11 @@
             own.in_flight + peers.in_flight, own.unread_tokens + peers.unread_tokens
         )
 
+    def own_in_flight(self, server: InstanceId) -> int:
+        """Return the requests of this node that are in flight at a server."""
+        state = self._servers.get(server)
+        return 0 if state is None else state.own.in_flight
+
     def own_load_rows(self) -> list[tuple[InstanceId, int, int]]:
         """Return the load from this node, to tell other nodes.
 
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -21,6 +21,11 @@
             "Sends to servers by how they ended.",
             registry=self.registry,
         )
+        self.lost_sends = Counter(
+            "briarpond_gateway_lost_sends_total",
+            "Sends without a complete answer, by how far they had come.",
+            registry=self.registry,
+        )
         self.first_byte = Histogram(
             "briarpond_gateway_first_byte_seconds",
             "From the whole request to the first byte of its answer.",
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -19,11 +19,13 @@
 from briarpond.platform import (
     HOP_BY_HOP_HEADERS,
     PlatformHeader,
+    parse_prompt_parts,
     parse_server_load,
     parse_token_counts,
 )
 from briarpond.routes import ModelName, Route, RouteKind, Tenant
 
+from ._send_state import SendState
 from ._state import NodeState
 from ._targets import ServerChoice, best_group, best_server
 
@@ -92,6 +94,8 @@
         Model that the request names; empty if none.
     request_size : RequestSize
         Tokens of the prompt and expected tokens of the answer.
+    prompt_parts : tuple of PromptPart
+        Parts of the prompt.
     """
 
     def __init__(
@@ -132,6 +136,7 @@
         self._event_splitter = ResumableEventSplitter()
         self._first_byte_at: float | None = None
         self._prompt_tokens = 0
+        self._send_state = SendState(request.read_at)
         self._reason = ""
         deadline_ms = request.header(PlatformHeader.DEADLINE_MS)
         allowed_s = (
@@ -141,6 +146,7 @@
         self._expires_at = request.read_at + min(allowed_s, route.timeout_s)
         self.model = ModelName(request.header(PlatformHeader.MODEL) or "")
         self.request_size = _parse_request_size(request)
+        self.prompt_parts = parse_prompt_parts(request.header(PlatformHeader.PROMPT_PARTS))
         reply.on_disconnect = self._on_caller_gone
 
     @property
@@ -214,6 +220,7 @@
         if recovery is not RecoveryAction.RETRY or self._choose(now, excluded=self.server) is None:
             return
         self._reason = "stalled"
+        self._log_lost_send(self._reason, now)
         self._cancel_send()
         self.try_send()
 
@@ -241,6 +248,7 @@
         self._tried.append(choice.instance)
         self.last_progress = now
         self.first_event_seen = False
+        self._send_state = SendState(now)
         self._event_splitter.discard_partial_event()
         self._answer_body.clear()
         self._prompt_tokens = self.request_size.prompt_tokens
@@ -286,12 +294,14 @@
     def _on_sent(self) -> None:
         self._sends += 1
         self._possible_runs += 1
+        self._send_state.was_sent = True
 
     # Answers
 
     def _on_head(self, status: int, headers: Headers) -> None:
         now = self._state.clock.now()
         self.last_progress = now
+        self._send_state.head_received = True
         self._record_load(headers)
         headers_by_name = dict(headers)
         not_executed = status == 421 or PlatformHeader.NOT_EXECUTED in headers_by_name
@@ -356,6 +366,8 @@
             self._state.event_gap_tracker.record_gap(
                 self.server, self.model, now - self.last_progress, now
             )
+        if self._send_state.events_began_at is None:
+            self._send_state.events_began_at = now
         self.last_progress = now
 
     def _forward_events(self, complete_events: bytes, now: float) -> None:
@@ -386,6 +398,7 @@
     def _on_lost(self, reason: LossReason) -> None:
         now = self._state.clock.now()
         assert self.server is not None
+        self._log_lost_send(reason.value, now)
         if reason is LossReason.CONNECT_FAILED:
             self._state.avoid(self.server, now)
             self._report_stalled(self.server)
@@ -394,6 +407,24 @@
         else:
             self._on_send_failed(SendFailure.UNKNOWN, reason.value)
 
+    def _log_lost_send(self, reason: str, now: float) -> None:
+        """Log that the present send got no complete answer, and how far it had come."""
+        send = self._send_state
+        streaming_s = send.streaming_s(now)
+        self._state.metrics.lost_sends.inc({"phase": send.phase.value, "reason": reason})
+        log_event(
+            "send_lost",
+            id=self._request_id,
+            server=self.server,
+            reason=reason,
+            phase=send.phase.value,
+            send=self._sends,
+            ms=int((now - send.began_at) * 1000),
+            streaming_ms=-1 if streaming_s is None else int(streaming_s * 1000),
+            server_in_flight=self._state.load_tracker.own_in_flight(self.server),
+            parts="+".join(self.prompt_parts) or "-",
+        )
+
     def _on_send_failed(self, failure: SendFailure, reason: str) -> None:
         """Repeat the request after a failed send if permitted; otherwise end it."""
         now = self._state.clock.now()
--- a/briarpond/ids.py
+++ b/briarpond/ids.py
@@ -30,6 +30,8 @@
 Position
     Place of a record in the order of the log, above 0. The position of the record that
     forms a group is the group's generation.
+PromptPart
+    Name of a part of a prompt, the same in all requests that share the part.
 RecordId
     Id that a record carries in the log; a record that is appended twice is folded once.
 RequestKey
@@ -52,6 +54,7 @@
 NodeId = NewType("NodeId", str)
 OperatorName = NewType("OperatorName", str)
 Position = NewType("Position", int)
+PromptPart = NewType("PromptPart", str)
 RecordId = NewType("RecordId", str)
 RequestKey = NewType("RequestKey", str)
 ServiceName = NewType("ServiceName", str)
--- a/briarpond/platform/__init__.py
+++ b/briarpond/platform/__init__.py
@@ -12,6 +12,7 @@
     PlatformHeader,
     ServerLoad,
     bearer_key,
+    parse_prompt_parts,
     parse_server_load,
     parse_token_counts,
 )
@@ -87,6 +88,7 @@
     "leave_lease_request",
     "load_gateway_settings",
     "parse_address_query",
+    "parse_prompt_parts",
     "parse_server_load",
     "parse_token_counts",
     "newest_records_request",
--- a/briarpond/platform/_headers.py
+++ b/briarpond/platform/_headers.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from briarpond.ids import PromptPart
+
 
 class PlatformHeader:
     """Header names, in lower case like the names of received headers.
@@ -31,6 +33,8 @@
     LENGTH_HINT : str
         Number of output tokens that the caller expects, at most the maximum in
         `TOKEN_USAGE`.
+    PROMPT_PARTS : str
+        Parts of the request's prompt in order, see `parse_prompt_parts`.
     PRIORITY : str
         Priority that the caller gives; it is not forwarded.
     LAST_EVENT_ID : str
@@ -50,6 +54,7 @@
     MODEL = "x-briarpond-model"
     TOKEN_USAGE = "x-briarpond-token-usage"
     LENGTH_HINT = "x-briarpond-length-hint"
+    PROMPT_PARTS = "x-briarpond-prompt-prefix"
     PRIORITY = "x-briarpond-request-priority"
     LAST_EVENT_ID = "last-event-id"
     AUTHORIZATION = "authorization"
@@ -74,6 +79,11 @@
 )
 
 _BEARER_PREFIX = "bearer "
+# Parts of a prompt that are read; a longer list is cut off.
+MAX_PROMPT_PARTS = 64
+# Longest name of a part that is read.
+MAX_PART_NAME = 32
+_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
 class ServerLoad(msgspec.Struct, frozen=True):
@@ -122,3 +132,21 @@
     if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
         return None
     return int(parts[0]), int(parts[1])
+
+
+def parse_prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
+    """Parse a header value of comma-separated entries ``id:tokens``, ids in hexadecimal.
+
+    Returns the different ids in order, from the first `MAX_PROMPT_PARTS` entries; those that
+    cannot be read are left out.
+    """
+    if not value:
+        return ()
+    # One piece more than is read, so that no time is spent on the rest of a long list.
+    entries = value.split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]
+    names = [entry.split(":", 1)[0].strip().lower() for entry in entries]
+    return tuple(PromptPart(name) for name in dict.fromkeys(names) if _is_part_name(name))
+
+
+def _is_part_name(name: str) -> bool:
+    return 0 < len(name) <= MAX_PART_NAME and _HEX_DIGITS.issuperset(name)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -23,9 +23,11 @@
     decode_report,
     load_gateway_settings,
     parse_address_query,
+    parse_prompt_parts,
     parse_server_load,
     parse_token_counts,
 )
+from briarpond.platform._headers import MAX_PROMPT_PARTS
 from briarpond.routes import RouteKind
 
 from ..platform_samples import SETTINGS, config_bytes, server_bytes
@@ -151,3 +153,26 @@
     path.write_text(text)
     problem = load_gateway_settings(path).error
     assert problem.code == code and "\n" not in str(problem)
+
+
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        ("5c1e07a2:800,91BD3F06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06", "e4402b7d")),
+        ("5c1e07a2:800, 5c1e07a2:800", ("5c1e07a2",)),
+        ("5c1e07a2", ("5c1e07a2",)),
+        (None, ()),
+        ("", ()),
+        (",", ()),
+        ("5c1e07a2:800,", ("5c1e07a2",)),
+        ("zz:1,5c1e07a2:1", ("5c1e07a2",)),
+        ("a" * 33 + ":1", ()),
+    ],
+)
+def test_prompt_parts_are_read_and_unreadable_ones_left_out(value, parts):
+    assert parse_prompt_parts(value) == parts
+
+
+def test_list_of_prompt_parts_without_end_is_cut_off():
+    value = ",".join(f"{number:x}:1" for number in range(100_000))
+    assert len(parse_prompt_parts(value)) == MAX_PROMPT_PARTS
