Servers that refuse connections or name a lost member are reported to the planner

What callers saw: no_room and no_group for seconds after a server had ended, since its group stayed among the targets until the list dropped it. Cause: the server was marked as avoided first, and a server that is avoided already is not reported. The tests fail before: nothing was reported, also with 421 and At-Server.

--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -328,13 +328,13 @@
         state = self._state
         self._possible_runs -= 1
         assert self.server is not None
+        if headers_by_name.get(PlatformHeader.FAILED_SERVER):
+            # Before it is avoided: a server that is avoided already is not reported again.
+            self._report_stalled(self.server)
         if status == 421:
             state.avoid(self.server, now)
         else:
             state.load_tracker.mark_full(self.server, now + FULL_DURATION_S)
-        failed_member = headers_by_name.get(PlatformHeader.FAILED_SERVER)
-        if failed_member:
-            self._report_stalled(self.server)
         self._on_send_failed(SendFailure.NOT_EXECUTED, f"turned_away_{status}")
 
     def _on_body(self, data: bytes) -> None:
@@ -400,7 +400,6 @@
         assert self.server is not None
         self._log_lost_send(reason.value, now)
         if reason is LossReason.CONNECT_FAILED:
-            self._state.avoid(self.server, now)
             self._report_stalled(self.server)
             self._failed_connects += 1
             self._on_send_failed(SendFailure.NOT_SENT, reason.value)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from briarpond.net import LossReason
+from briarpond.net import Address, LossReason
 
 from .world import STAMP_HEADER, Gateway, make_instance
 
@@ -201,3 +201,20 @@
     gateway.publish_plan(("h1",), list_is_current=False)
     gateway.send_stream_request()
     assert not gateway.client.sent
+
+
+# Guards against groups that stay in use for seconds after their head has refused connections.
+def test_server_that_refuses_connections_is_reported_once(gateway):
+    gateway.client.refusing = {Address("10.8.0.1", 80 + number) for number in range(3)}
+    gateway.send_stream_request()
+    gateway.clock.advance(0.05)
+    assert sorted(gateway.reported_stalled) == ["h1", "h2", "h3"]
+
+
+# Guards against a lost member that stays in its group because only one caller learns of it.
+@pytest.mark.parametrize("status", [421, 503])
+def test_server_that_names_a_lost_member_is_reported(gateway, status):
+    gateway.send_stream_request()
+    sent = gateway.client.sent[0]
+    sent.answer_head(status, NOT_EXECUTED, ("at-server", "i-lost"))
+    assert gateway.reported_stalled == [sent.header("x-briarpond-expect-instance")]
