Check of KNOWN-RED.txt finds the marked tests again

Cause: pytest's options in pyproject.toml hold one -q, and the second one given here makes it print counts instead of names, so that every listed test counted as unmarked. Nobody saw it while the list was empty. Result: with one entry the check passed over it ('still fails', exit 0); before, it failed with 'list and markers differ'.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -16,7 +16,7 @@
 
 def collect_marked_tests() -> list[str]:
     """Return the pytest node ids of all tests with the marker known_red."""
-    result = _run_pytest("--collect-only", "-q", "-m", "known_red")
+    result = _run_pytest("--collect-only", "-m", "known_red")
     return [line for line in result.stdout.splitlines() if "::" in line]
 
 
