A request without an id gets a connection of its own

Tests on copies of refusals pass as the code was: with an id they are discarded, and after a refusal the connection is closed anyway. Cause of what is left: without a request id nothing tells a late answer from the right one, and such a request could still use a kept connection. Evidence: test_request_without_id_gets_a_connection_of_its_own failed before (reuse_idle=True).

--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -290,7 +290,8 @@
             self._on_end,
             self._on_lost,
             self._on_sent,
-            reuse_idle=self.route.repeatable,
+            # Only an id tells this request's answer from a late one to an earlier request.
+            reuse_idle=self.route.repeatable and self._request_id is not None,
             connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, self._expires_at - now)),
             echoed_header=(
                 None if self._request_id is None else (PlatformHeader.REQUEST_ID, self._request_id)
--- a/tests/gateway/test_server_faults.py
+++ b/tests/gateway/test_server_faults.py
@@ -7,8 +7,9 @@
 import pytest
 
 from briarpond.gateway._run import MAX_ANSWER_BYTES, MAX_EVENT_BYTES
+from briarpond.net import HttpRequest
 
-from .world import STAMP_HEADER, Gateway
+from .world import STAMP_HEADER, Gateway, RecordedReply
 
 TRICKLE_INTERVAL_S = 0.2
 # Silence after which a request is moved away from its server, with a margin for the check.
@@ -87,3 +88,13 @@
         sent.call.on_body(b"x" * 65536)
     assert sent.cancelled and reply.status == 502
     assert MAX_ANSWER_BYTES <= 16 * 1024 * 1024
+
+
+# Guards against an earlier answer on a kept connection that no id tells from the right one.
+def test_request_without_id_gets_a_connection_of_its_own(tmp_path):
+    gateway = Gateway(tmp_path)
+    pairs = (("host", "shop.example"), ("x-briarpond-deadline-ms", "1000"))
+    request = HttpRequest("GET", "/order/open/1", pairs, b"", gateway.clock.now())
+    gateway.ingress.handle(request, RecordedReply())
+    (sent,) = gateway.client.sent
+    assert not sent.call.reuse_idle
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -350,3 +350,58 @@
             client.sendall(data[cut:])
         assert client.recv(1000).startswith(b"HTTP/1.1 200")
         loop.wait_until(lambda: server.unanswered_count() == 0)
+
+
+def refusal(name):
+    """Return a server's statement that it has not run the request `name`."""
+    head = b"HTTP/1.1 503 Full\r\nX-Id: %b\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    return head % name
+
+
+# Guards against an old refusal, written once more on a kept connection, that is taken for the
+# answer to the next request: its caller would be told 'not run' of a request that runs.
+def test_copy_of_an_earlier_refusal_on_a_kept_connection_is_discarded(loop):
+    server = ScriptedServer([answer(b"a"), refusal(b"a") + answer(b"b", b"mine")])
+    client = HttpClient(loop.connector, loop.clock)
+    assert call(loop, client, server, "a") == ([200, "end"], b"ok")
+    assert call(loop, client, server, "b") == ([200, "end"], b"mine")
+    assert server.connections == 1
+
+
+def test_several_copies_of_earlier_refusals_are_discarded(loop):
+    copies = refusal(b"x") + refusal(b"a") + refusal(b"a")
+    server = ScriptedServer([answer(b"a"), copies + answer(b"b", b"mine")])
+    client = HttpClient(loop.connector, loop.clock)
+    call(loop, client, server, "a")
+    assert call(loop, client, server, "b") == ([200, "end"], b"mine")
+
+
+def test_copy_of_an_earlier_refusal_alone_is_no_answer(loop):
+    server = ScriptedServer([answer(b"a"), refusal(b"a")])
+    client = HttpClient(loop.connector, loop.clock)
+    call(loop, client, server, "a")
+    assert call(loop, client, server, "b")[0] == ["connection-lost"]
+
+
+HEADS = [
+    b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 4\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Type: text/event-stream\r\n\r\n",
+]
+
+
+# Guards against a server that stops in the middle of its head and closes, and whose caller gets
+# a 200 with an empty body that looks whole.
+@pytest.mark.parametrize("head", HEADS)
+def test_head_that_is_cut_off_anywhere_is_no_answer(loop, head):
+    client = HttpClient(loop.connector, loop.clock)
+    for length in range(1, len(head)):
+        progress, body = call(loop, client, ScriptedServer([head[:length]]))
+        assert progress in (["connection-lost"], ["malformed"]) and body == b"", head[:length]
+
+
+@pytest.mark.parametrize("body", [b"", b"4", b"4\r\n", b"4\r\nda", b"4\r\ndata\r\n", b"0\r\n"])
+def test_chunked_body_that_is_cut_off_anywhere_is_not_complete(loop, body):
+    client = HttpClient(loop.connector, loop.clock)
+    progress, _ = call(loop, client, ScriptedServer([HEADS[1] + body]))
+    assert progress in ([200, "connection-lost"], [200, "malformed"])
