A stream goes on only with an answer of the same media type

Cause: status and stamp of the resuming answer were checked, its media type was not, so a stamped 200 with a page of text went into the stream. Evidence: test_error_of_the_resuming_server_never_gets_into_the_stream failed before for text/html; the seven other kinds of answer were turned away as the code was.

--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -337,7 +337,9 @@
             return
         is_stamped = PlatformHeader.SERVER_STAMP in headers_by_name
         is_stream = self.route.kind is RouteKind.STREAM and status == 200
-        if self._headers_forwarded and not (is_stream and is_stamped):
+        if self._headers_forwarded and not (
+            is_stream and is_stamped and _media_type(headers) == _media_type(self._answer_headers)
+        ):
             self._on_send_failed(SendFailure.UNKNOWN, f"resume_status_{status}")
             return
         if 200 <= status < 300 and (not is_stamped or "content-encoding" in headers_by_name):
@@ -602,6 +604,12 @@
         self._on_done(self)
 
 
+def _media_type(headers: Headers) -> str:
+    """Return the media type of an answer, without parameters; empty if it states none."""
+    content_type = next((value for name, value in headers if name == "content-type"), "")
+    return content_type.split(";", 1)[0].strip().lower()
+
+
 def _parse_request_size(request: HttpRequest) -> RequestSize:
     """Read the size of a model request from its headers; zeros if they are missing.
 
--- a/tests/gateway/test_server_faults.py
+++ b/tests/gateway/test_server_faults.py
@@ -7,10 +7,12 @@
 import pytest
 
 from briarpond.gateway._run import MAX_ANSWER_BYTES, MAX_EVENT_BYTES
-from briarpond.net import HttpRequest
+from briarpond.net import HttpRequest, LossReason
 
 from .world import STAMP_HEADER, Gateway, RecordedReply
 
+EVENT_STREAM = ("content-type", "text/event-stream")
+
 TRICKLE_INTERVAL_S = 0.2
 # Silence after which a request is moved away from its server, with a margin for the check.
 STALL_LIMIT_S = 1.2
@@ -90,6 +92,60 @@
     assert MAX_ANSWER_BYTES <= 16 * 1024 * 1024
 
 
+def break_off_and_resume(gateway):
+    """Return a stream whose first server was lost, with the send that is to resume it."""
+    reply = gateway.send_stream_request()
+    first = gateway.client.sent[0]
+    first.answer_head(200, STAMP_HEADER, EVENT_STREAM)
+    first.call.on_body(b"id: 0\ndata: x\n\n")
+    first.call.on_lost(LossReason.CONNECTION_LOST)
+    return reply, gateway.client.sent[1]
+
+
+def deliver(sent, status, headers, body):
+    """Deliver an answer as an `Exchange` does: nothing more once the send was cancelled."""
+    sent.call.on_head(status, headers)
+    if not sent.cancelled:
+        sent.call.on_body(body)
+    if not sent.cancelled:
+        sent.call.on_end()
+
+
+# Guards against the text of a second server's error in the middle of a caller's stream, and
+# against such a stream that ends as if it were complete.
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (500, (STAMP_HEADER, ("content-type", "text/plain"))),
+        (504, (STAMP_HEADER,)),
+        (404, ()),
+        (503, (("x-briarpond-not-executed", "1"),)),
+        (204, (STAMP_HEADER,)),
+        (200, (("content-type", "text/event-stream"),)),
+        (200, (STAMP_HEADER, ("content-type", "text/html"))),
+        (200, (STAMP_HEADER, EVENT_STREAM, ("content-encoding", "gzip"))),
+    ],
+)
+def test_error_of_the_resuming_server_never_gets_into_the_stream(tmp_path, status, headers):
+    gateway = Gateway(tmp_path)
+    reply, second = break_off_and_resume(gateway)
+    deliver(second, status, headers, b"error: out of memory\n\nHTTP/1.1 500 Oops\r\n\r\n")
+    gateway.clock.advance(10.0)
+    assert reply.body == b"id: 0\ndata: x\n\n"
+    assert reply.aborted
+
+
+@pytest.mark.parametrize("rest", [b"id: 1\nda", b"id: 1\ndata: y\n", b"id"])
+def test_stream_without_length_that_ends_inside_an_event_is_resumed(tmp_path, rest):
+    gateway = Gateway(tmp_path)
+    gateway.send_stream_request()
+    first = gateway.client.sent[0]
+    first.answer_head(200, STAMP_HEADER, EVENT_STREAM)
+    first.call.on_body(b"id: 0\ndata: x\n\n" + rest)
+    first.call.on_end()
+    assert gateway.client.sent[1].header("last-event-id") == "0"
+
+
 # Guards against an earlier answer on a kept connection that no id tells from the right one.
 def test_request_without_id_gets_a_connection_of_its_own(tmp_path):
     gateway = Gateway(tmp_path)
