A resumed answer without length and events does not end the stream

Cause: a resuming server that closed its connection right after a head without length or chunks looked like one that had nothing left to send. Evidence: test_resumed_answer_without_length_and_events_is_no_end_of_the_stream failed before; a server that states a length or chunks may still have nothing left.

--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -53,6 +53,8 @@
     PlatformHeader.PRIORITY,
     PlatformHeader.LAST_EVENT_ID,
 }
+# Headers by which an answer states where it ends.
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 # Headers of a server's answer that are not sent to the caller.
 _DROPPED_ANSWER_HEADERS = HOP_BY_HOP_HEADERS | {"content-length"}
 
@@ -331,6 +333,7 @@
         self._send_state.head_received = True
         self._record_load(headers)
         headers_by_name = dict(headers)
+        self._send_state.is_framed = not _FRAMING_HEADERS.isdisjoint(headers_by_name)
         not_executed = status == 421 or PlatformHeader.NOT_EXECUTED in headers_by_name
         if not_executed and status in NOT_EXECUTED_STATUSES:
             self._on_not_executed(status, headers_by_name, now)
@@ -409,9 +412,7 @@
     def _on_end(self) -> None:
         if self.done:
             return
-        if self._is_stream and (
-            self._event_splitter.has_partial_event or not self._headers_forwarded
-        ):
+        if self._is_stream and self._is_cut_short():
             now = self._state.clock.now()
             self._log_lost_send("stream_cut", now)
             self._record_crash(now)
@@ -428,6 +429,14 @@
         self._state.metrics.sends.inc({"end": "answered"})
         self._finish("answered")
 
+    def _is_cut_short(self) -> bool:
+        """Whether a stream that has ended in order is not complete all the same."""
+        if self._event_splitter.has_partial_event or not self._headers_forwarded:
+            return True
+        # A server that has resumed the stream may have nothing left to send, but then it says so.
+        has_events = self._send_state.phase is SendPhase.STREAMING
+        return not has_events and not self._send_state.is_framed
+
     def _on_lost(self, reason: LossReason) -> None:
         now = self._state.clock.now()
         assert self.server is not None
--- a/briarpond/gateway/_send_state.py
+++ b/briarpond/gateway/_send_state.py
@@ -42,6 +42,9 @@
         Whether a byte of the request may have reached the backend server.
     head_received : bool
         Whether status and headers of the answer have arrived.
+    is_framed : bool
+        Whether the answer states where it ends, by a length or by chunks. Otherwise it ends
+        with its connection.
     events_began_at : float or None
         Time of the first complete event of a stream; None before it.
     """
@@ -50,6 +53,7 @@
     epoch: int = 0
     was_sent: bool = False
     head_received: bool = False
+    is_framed: bool = False
     events_began_at: float | None = None
 
     @property
--- a/tests/gateway/test_server_faults.py
+++ b/tests/gateway/test_server_faults.py
@@ -135,6 +135,22 @@
     assert reply.aborted
 
 
+# Guards against a stream that ends as complete because the resuming server closed at once.
+def test_resumed_answer_without_length_and_events_is_no_end_of_the_stream(tmp_path):
+    gateway = Gateway(tmp_path)
+    reply, second = break_off_and_resume(gateway)
+    deliver(second, 200, (STAMP_HEADER, EVENT_STREAM), b"")
+    assert reply.aborted
+
+
+def test_resumed_answer_with_a_length_may_have_nothing_left_to_send(tmp_path):
+    gateway = Gateway(tmp_path)
+    reply, second = break_off_and_resume(gateway)
+    second.answer_head(200, STAMP_HEADER, EVENT_STREAM, ("transfer-encoding", "chunked"))
+    second.call.on_end()
+    assert reply.ended and not reply.aborted
+
+
 @pytest.mark.parametrize("rest", [b"id: 1\nda", b"id: 1\ndata: y\n", b"id"])
 def test_stream_without_length_that_ends_inside_an_event_is_resumed(tmp_path, rest):
     gateway = Gateway(tmp_path)
