--- a/tests/directory/world.py
+++ b/tests/directory/world.py
@@ -26,6 +26,7 @@
     encode_datagram,
 )
 from briarpond.net import Address
+from briarpond.quarantine import CrashKey, Quarantine, QuarantineCallbacks
 
 LOSS = 0.01
 NEAR_DELAY_S = 0.0002
@@ -77,6 +78,19 @@
             on_load=lambda source, load: None,
             on_stalled=self.stalled.update,
             on_members=lambda appeared, gone: None,
+            evidence=lambda now: self.quarantine.evidence(now),
+            on_evidence=lambda evidence, now: self.quarantine.merge(evidence, now),
+            on_pause=lambda now: self.quarantine.on_pause(now),
+        )
+        self.quarantine = Quarantine(
+            QuarantineCallbacks(
+                count_groups=lambda now: 100,
+                is_trial_node=lambda part, now: False,
+                on_quarantined=self._on_quarantined,
+                on_trial=lambda part, request_id: None,
+                on_released=lambda part, reason: None,
+            ),
+            now,
         )
         self.sync = PeerSync(own, callbacks, random.Random(self.world.rng.random()), now)
         self.sync.add_contacts(self.world.seed_hosts)
@@ -103,6 +117,18 @@
     def announce_stalled(self, server):
         self.send(self.sync.announce(self.world.now, stalled=(server,)))
 
+    def see_crash(self, server, request):
+        """Record that a server ended under a request, given by its parts."""
+        self.quarantine.record_crash(CrashKey(server, 1), [tuple(request.split())], self.world.now)
+
+    def refuses(self, part):
+        return self.quarantine.check((part,), "any", self.world.now) is not None
+
+    def _on_quarantined(self, condemnation, is_first_hand):
+        if is_first_hand:
+            now = self.world.now
+            self.send(self.sync.announce(now, evidence=self.quarantine.evidence(now)))
+
     def receive(self, data):
         message = decode_datagram(data).ok
         now = self.world.now
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -146,10 +146,10 @@
     All groups serve the model `big`; the plain servers belong to the service `desk`.
     """
 
-    def __init__(self, tmp_path: Path, heads=("h1", "h2", "h3")) -> None:
+    def __init__(self, tmp_path: Path, heads=("h1", "h2", "h3"), clock=None) -> None:
         path = tmp_path / "node.yaml"
         path.write_text(SETTINGS)
-        self.clock = VirtualClock()
+        self.clock = VirtualClock() if clock is None else clock
         self.client = ScriptedClient(self.clock)
         self.state = NodeState(load_gateway_settings(path).ok, self.clock, self.client)
         stream_route, *other_routes = CONFIG["routes"]
