briarpondctl lists and lifts quarantines; operations: from a request to the part

The port between nodes answers GET /quarantine and DELETE /quarantine/PART; a lift is told as a survival, so that it holds at all nodes. Exit codes of the tool have a module of their own.

--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -39,6 +39,7 @@
 from ._lease import MAX_CANDIDATES, PlannerLease
 from ._peers import PeerLink
 from ._planner_link import PlannerRunner
+from ._quarantine_api import QUARANTINE_PATH, answer_quarantine
 from ._registry import NodeRegistry
 from ._start_wait import start_wait_s
 from ._state import NodeState
@@ -179,7 +180,7 @@
         ]
         auxiliary_endpoints = {
             settings.readiness_address: HttpServer(clock, self._answer_auxiliary),
-            peer_address: HttpServer(clock, self._config.answer_node),
+            peer_address: HttpServer(clock, self._answer_internal),
         }
         if settings.directory_address is not None:
             auxiliary_endpoints.setdefault(
@@ -458,6 +459,13 @@
 
     # Directory, readiness and metrics
 
+    def _answer_internal(self, request: HttpRequest, reply: HttpReply) -> None:
+        """Answer a request from inside the deployment, of another node or of an operator."""
+        if request.target.startswith(QUARANTINE_PATH):
+            answer_quarantine(self.state.quarantine, request, reply, self._clock.now())
+        else:
+            self._config.answer_node(request, reply)
+
     def _answer_auxiliary(self, request: HttpRequest, reply: HttpReply) -> None:
         """Answer a request for readiness, metrics or the addresses of nodes."""
         path = request.target.split("?", 1)[0]
--- a/briarpond/management/_cli.py
+++ b/briarpond/management/_cli.py
@@ -9,7 +9,6 @@
 import os
 import sys
 from dataclasses import dataclass
-from enum import IntEnum
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -20,30 +19,13 @@
 from briarpond.conf import Address, load_settings
 
 from ._client import call_node
+from ._exit_codes import ExitCode
+from ._quarantine import quarantine
 
 KEY_VARIABLE = "BRIARPOND_OPERATOR_KEY"
 NODE_VARIABLE = "BRIARPOND_NODE"
 
 
-class ExitCode(IntEnum):
-    """Exit codes of the tool; ``docs/ref/commands.md`` lists them.
-
-    OK : the command succeeded.
-    FAILED : the node gave no usable answer, or a patch was certainly not submitted.
-    USAGE : the command line, the patch file or the operator key is unusable.
-    REFUSED : the node refused the request, or the patch.
-    UNKNOWN : whether the patch was accepted is not known.
-    SETTINGS : the settings file has problems.
-    """
-
-    OK = 0
-    FAILED = 1
-    USAGE = 2
-    REFUSED = 3
-    UNKNOWN = 4
-    SETTINGS = 78
-
-
 @Parameter(name="*")
 @dataclass
 class NodeOptions:
@@ -69,6 +51,7 @@
     help="Operate a deployment of the serving system.",
     version=__version__,
 )
+command_line.command(quarantine)
 
 
 @command_line.command
--- a/briarpond/quarantine/__init__.py
+++ b/briarpond/quarantine/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from ._crashes import MAX_PARTS_PER_CRASH, MAX_REQUESTS_PER_CRASH
-from ._entries import FIRST_QUARANTINE_S, trial_node
+from ._entries import FIRST_QUARANTINE_S, quarantine_s, trial_node
 from ._models import CrashKey, CrashReport, Evidence, QuarantineStatus, Survival
 from ._quarantine import (
     Block,
@@ -31,5 +31,6 @@
     "QuarantineStatus",
     "ReleaseReason",
     "Survival",
+    "quarantine_s",
     "trial_node",
 ]
--- a/briarpond/quarantine/_entries.py
+++ b/briarpond/quarantine/_entries.py
@@ -20,6 +20,11 @@
 TRIAL_RETRY_S = 1.0
 
 
+def quarantine_s(level: int) -> float:
+    """Return the seconds from the last crash to the next trial, after `level` failed trials."""
+    return min(LONGEST_QUARANTINE_S, FIRST_QUARANTINE_S * 2**level)
+
+
 class Entry(msgspec.Struct, eq=False):
     """A part in quarantine.
 
@@ -46,7 +51,7 @@
     @property
     def until(self) -> float:
         """Time from which a single request with the part may be tried."""
-        return self.since + min(LONGEST_QUARANTINE_S, FIRST_QUARANTINE_S * 2**self.level)
+        return self.since + quarantine_s(self.level)
 
     def is_forgotten(self, now: float) -> bool:
         """Whether the part has been out of use for so long that the entry can be dropped."""
