Own interface: a stream goes on only with an answer of the same media type

Cause: a resumed attempt was judged by its status alone. Such an answer is now a lost attempt. test_error_of_the_resuming_server_never_gets_into_the_stream of tests/requests failed before for a 200 of another type or of none; a refusal after a lost attempt was never 'not run'.

--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -15,7 +15,15 @@
 )
 from briarpond.ids import InstanceId, PromptPart, ServiceName
 from briarpond.logs import log_event
-from briarpond.net import Exchange, Headers, HttpCall, HttpReply, HttpRequest, LossReason
+from briarpond.net import (
+    Exchange,
+    Headers,
+    HttpCall,
+    HttpReply,
+    HttpRequest,
+    LossReason,
+    media_type,
+)
 from briarpond.platform import (
     HOP_BY_HOP_HEADERS,
     PlatformHeader,
@@ -341,7 +349,7 @@
         is_stamped = PlatformHeader.SERVER_STAMP in headers_by_name
         is_stream = self.route.kind is RouteKind.STREAM and status == 200
         if self._headers_forwarded and not (
-            is_stream and is_stamped and _media_type(headers) == _media_type(self._answer_headers)
+            is_stream and is_stamped and media_type(headers) == media_type(self._answer_headers)
         ):
             self._on_send_failed(SendFailure.UNKNOWN, f"resume_status_{status}")
             return
@@ -613,12 +621,6 @@
         self._on_done(self)
 
 
-def _media_type(headers: Headers) -> str:
-    """Return the media type of an answer, without parameters; empty if it states none."""
-    content_type = next((value for name, value in headers if name == "content-type"), "")
-    return content_type.split(";", 1)[0].strip().lower()
-
-
 def _parse_request_size(request: HttpRequest) -> RequestSize:
     """Read the size of a model request from its headers; zeros if they are missing.
 
--- a/briarpond/net/__init__.py
+++ b/briarpond/net/__init__.py
@@ -11,6 +11,7 @@
 from ._http_server import CallerConnection, HttpReply, HttpRequest, HttpServer, HttpServerLimits
 from ._listener import TcpListener
 from ._loss import LossReason
+from ._media_type import media_type
 from ._outbound import Connection, ConnectionCallbacks, Connector
 from ._poller import DirectPoller
 from ._sentinel import EXIT_BROKEN_INVARIANT, UncaughtExceptionHandler
@@ -37,5 +38,6 @@
     "UncaughtExceptionHandler",
     "TcpListener",
     "Timer",
+    "media_type",
     "run_guarded",
 ]
--- a/briarpond/requests/_machine.py
+++ b/briarpond/requests/_machine.py
@@ -9,7 +9,7 @@
 from enum import Enum
 
 from briarpond.ids import AttemptId
-from briarpond.net import LossReason
+from briarpond.net import LossReason, media_type
 
 from ._effects import (
     AskKeyOwner,
@@ -292,12 +292,19 @@
             self._earlier_attempt_may_have_run = True
             self._avoid(self.target)
             return [CancelAttempt(attempt), *self._next_attempt(now)]
+        if self._reply_started and not self._continues_stream(status, headers):
+            cancel = CancelAttempt(attempt)
+            return [cancel, *self.on_lost(attempt, LossReason.MALFORMED, now)]
         self.stage = Stage.ANSWERING
         self._status = status
         self._headers = headers
         self._streaming = self.spec.kind is RequestKind.MODEL_STREAM and status == 200
         return []
 
+    def _continues_stream(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
+        """Whether an answer is the rest of the stream that the caller has got in part."""
+        return status == 200 and media_type(headers) == media_type(self._headers)
+
     def on_body(self, attempt: AttemptId, data: bytes, now: float) -> list[Effect]:
         """Process bytes of the body; complete events of a stream are sent to the caller at once."""
         if attempt != self._attempt or self.stage is not Stage.ANSWERING:
@@ -320,9 +327,6 @@
             if not self._splitter.done_received:
                 return self.on_lost(attempt, LossReason.MALFORMED, now)
             return self._end_answered([ReplyEnd()])
-        if self._reply_started:
-            # This attempt was to resume a stream, but its status was not 200.
-            return self._refuse_in_stream(RefusalCode.BACKEND_LOST, "The stream could not go on.")
         head = ReplyHead(self._status, self._headers, False, Outcome.ANSWERED)
         return self._end_answered([head, ReplyData(bytes(self._body)), ReplyEnd()])
 
