--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -383,6 +383,26 @@
     assert call(loop, client, server, "b")[0] == ["connection-lost"]
 
 
+# Guards against the same on an interface whose servers repeat no id: a connection on which a
+# request was refused is not used again.
+def test_connection_of_a_refused_request_is_not_kept(loop):
+    server = ScriptedServer([refusal(b"a") + refusal(b"a")])
+    client = HttpClient(loop.connector, loop.clock)
+    started, status = [], []
+
+    def on_head(code, _headers):
+        status.append(code)
+        started[0].cancel()
+
+    def ignore(*_args):
+        return None
+
+    refused = HttpCall(server.address, "GET", "/", (), b"", on_head, ignore, ignore, ignore)
+    loop.clock.after(0.0, lambda: started.append(client.start(refused)))
+    loop.wait_until(lambda: status)
+    assert status == [503] and not client.has_idle(server.address)
+
+
 HEADS = [
     b"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 4\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
