A crash with a suspect part is told to all nodes at once

Change: a crash under a part that other servers ended under, and that was not survived just before, goes out as a notice. The test fails without it (one or two of nine nodes know).

--- a/briarpond/gateway/_quarantine_link.py
+++ b/briarpond/gateway/_quarantine_link.py
@@ -55,6 +55,7 @@
                 count_groups=count_groups,
                 is_trial_node=lambda part, at: self.is_trial_node(part, at),
                 on_quarantined=self._on_quarantined,
+                on_suspected=self._announce,
                 on_trial=self._on_trial,
                 on_released=self._on_released,
             ),
@@ -80,8 +81,12 @@
         )
         self._count()
         self.end_requests(condemnation.part)
-        evidence = self.quarantine.evidence(now)
-        if is_first_hand and evidence is not None:
+        if is_first_hand:
+            self._announce()
+
+    def _announce(self) -> None:
+        evidence = self.quarantine.evidence(self._now())
+        if evidence is not None:
             self.announce(evidence)
 
     def _on_trial(self, part: PromptPart, request_id: str) -> None:
--- a/briarpond/quarantine/_quarantine.py
+++ b/briarpond/quarantine/_quarantine.py
@@ -81,6 +81,9 @@
         Takes a part and the present time; returns whether this node may try the part.
     on_quarantined : callable
         Takes a `Condemnation` and whether this node saw the crash that decided it.
+    on_suspected : callable
+        Called when another server has ended at this node under a part that other servers
+        ended under, and that is not in quarantine: other nodes should hear of it at once.
     on_trial : callable
         Takes a part and the id of the request that is tried.
     on_released : callable
@@ -90,6 +93,7 @@
     count_groups: Callable[[float], int]
     is_trial_node: Callable[[PromptPart, float], bool]
     on_quarantined: Callable[[Condemnation, bool], None]
+    on_suspected: Callable[[], None]
     on_trial: Callable[[PromptPart, str], None]
     on_released: Callable[[PromptPart, ReleaseReason], None]
 
@@ -132,7 +136,11 @@
 
     def record_crash(self, key: CrashKey, requests: Iterable[Request], now: float) -> None:
         """Record that a server ended, with the requests that it had hardly begun to answer."""
+        requests = tuple(requests)
         self._add_crash(key, now, requests, now, is_first_hand=True)
+        parts = {part for request in requests for part in request}
+        if any(self._should_be_told_at_once(part, now) for part in parts):
+            self._callbacks.on_suspected()
 
     def record_survival(self, parts: Iterable[PromptPart], began_at: float, now: float) -> None:
         """Record a whole answer on `parts`, which the server began to write at a time."""
@@ -246,6 +254,12 @@
             suspects.discard(part)
             self._condemn(part, cases[part], now, is_first_hand)
 
+    def _should_be_told_at_once(self, part: PromptPart, now: float) -> bool:
+        """Whether crashes with a part are many, but not enough for this node's verdict."""
+        if part in self._entries or self._crashes.count_of(part) < MIN_CRASHES:
+            return False
+        return self._case(part, now).is_suspicious
+
     def _condemn(self, part: PromptPart, case: Case, now: float, is_first_hand: bool) -> None:
         crashes = self._unexplained_crashes(part, now)
         self._add_entry(Entry(part, max(crash.at for crash in crashes)))
--- a/briarpond/quarantine/_verdict.py
+++ b/briarpond/quarantine/_verdict.py
@@ -65,11 +65,16 @@
         return min(1.0, rate) ** self._counted_crashes
 
     @property
-    def to_blame(self) -> bool:
-        """Whether requests with the part should no longer be sent."""
+    def is_suspicious(self) -> bool:
+        """Whether several crashes came with the part, which was not survived just before."""
         if self._counted_crashes < MIN_CRASHES:
             return False
-        if self.survived_before_s is not None and self.survived_before_s < RECENT_SURVIVAL_S:
+        return self.survived_before_s is None or self.survived_before_s >= RECENT_SURVIVAL_S
+
+    @property
+    def to_blame(self) -> bool:
+        """Whether requests with the part should no longer be sent."""
+        if not self.is_suspicious:
             return False
         if not self.is_own and self.requests < MIN_REQUESTS:
             return False
--- a/tests/directory/test_evidence.py
+++ b/tests/directory/test_evidence.py
@@ -50,6 +50,21 @@
     assert len(refusing(world)) == 9
 
 
+# Guards against a verdict that comes late because each node still waits for the others' crashes.
+def test_crashes_that_are_not_enough_yet_are_told_at_once():
+    world = settled_world(9)
+    world.group_count = 4
+    world.nodes[0].see_crash("s0", "f bad r0")
+    world.run(SPREAD_S)
+    world.nodes[4].see_crash("s1", "f bad r1")
+    world.run(0.05)
+    informed = [node for node in world.nodes if node.quarantine._crashes.count_of("bad") == 2]
+    assert len(informed) >= 8 and not refusing(world)
+    world.nodes[7].see_crash("s2", "f bad r2")
+    world.run(NOTICE_S)
+    assert len(refusing(world)) == 9
+
+
 def test_node_that_starts_later_or_was_cut_off_learns_of_the_quarantine():
     world = settled_world(9)
     late, cut_off = world.nodes[7], world.nodes[8]
--- a/tests/directory/world.py
+++ b/tests/directory/world.py
@@ -84,9 +84,10 @@
         )
         self.quarantine = Quarantine(
             QuarantineCallbacks(
-                count_groups=lambda now: 100,
+                count_groups=lambda now: self.world.group_count,
                 is_trial_node=lambda part, now: False,
                 on_quarantined=self._on_quarantined,
+                on_suspected=self._tell_all,
                 on_trial=lambda part, request_id: None,
                 on_released=lambda part, reason: None,
             ),
@@ -126,8 +127,11 @@
 
     def _on_quarantined(self, condemnation, is_first_hand):
         if is_first_hand:
-            now = self.world.now
-            self.send(self.sync.announce(now, evidence=self.quarantine.evidence(now)))
+            self._tell_all()
+
+    def _tell_all(self):
+        now = self.world.now
+        self.send(self.sync.announce(now, evidence=self.quarantine.evidence(now)))
 
     def receive(self, data):
         message = decode_datagram(data).ok
@@ -203,6 +207,7 @@
         self.rng = random.Random(seed)
         self.now = 1000.0
         self.loss = loss
+        self.group_count = 100
         # Pairs (sender, receiver) of nodes between which datagrams are dropped.
         self.is_cut = lambda sender, receiver: False
         self._heap = []
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -35,6 +35,7 @@
                 on_quarantined=lambda condemnation, first_hand: self.events.append(
                     ("quarantined", condemnation.part)
                 ),
+                on_suspected=lambda: None,
                 on_trial=lambda part, request_id: self.events.append(("tried", part)),
                 on_released=lambda part, reason: self.events.append((reason.value, part)),
             ),
