Test of suspect crashes waits until two crashes count as two

It now waits for the notice in between. With the notice taken out it fails at the number of informed nodes.

--- a/tests/directory/test_evidence.py
+++ b/tests/directory/test_evidence.py
@@ -60,6 +60,7 @@
     world.run(0.05)
     informed = [node for node in world.nodes if node.quarantine._crashes.count_of("bad") == 2]
     assert len(informed) >= 8 and not refusing(world)
+    world.run(NOTICE_S)
     world.nodes[7].see_crash("s2", "f bad r2")
     world.run(NOTICE_S)
     assert len(refusing(world)) == 9
