A verdict waits for the requests that other nodes had on the same server

Cause: the first node to report the third crash had only a bystander on that server. At that moment the common part had more crashes than the deadly one, and was blamed; its requests in flight were ended, so that none could clear it. Change: a crash is judged 0.12 s after it became known, with all its parts; a part that used to be harmless needs three requests, and is tried after 3.75 s instead of 30 s.

--- a/briarpond/gateway/_quarantine_api.py
+++ b/briarpond/gateway/_quarantine_api.py
@@ -17,8 +17,8 @@
     ----------
     part : PromptPart
         The part.
-    failed_trials : int
-        Number of trials that ended a server.
+    level : int
+        How often the shortest time of a quarantine was doubled; each failed trial adds one.
     age_s : float
         Seconds since the last crash that is blamed on it.
     trial_in_s : float
@@ -26,7 +26,7 @@
     """
 
     part: PromptPart
-    failed_trials: int
+    level: int
     age_s: float
     trial_in_s: float
 
--- a/briarpond/gateway/_quarantine_link.py
+++ b/briarpond/gateway/_quarantine_link.py
@@ -4,6 +4,7 @@
 
 from briarpond.ids import PromptPart
 from briarpond.logs import log_event, log_warning
+from briarpond.net import Clock
 from briarpond.quarantine import (
     Condemnation,
     Evidence,
@@ -22,8 +23,8 @@
     ----------
     metrics : GatewayMetrics
         Metrics of the node.
-    now : callable
-        Returns the present time.
+    clock : Clock
+        Source of time and timers.
     count_groups : callable
         Takes the present time; returns the number of groups that serve.
 
@@ -42,28 +43,29 @@
     def __init__(
         self,
         metrics: GatewayMetrics,
-        now: Callable[[], float],
+        clock: Clock,
         count_groups: Callable[[float], int],
     ) -> None:
         self.is_trial_node: Callable[[PromptPart, float], bool] = lambda part, now: True
         self.end_requests: Callable[[PromptPart], None] = lambda part: None
         self.announce: Callable[[Evidence], None] = lambda evidence: None
         self._metrics = metrics
-        self._now = now
+        self._clock = clock
         self.quarantine = Quarantine(
             QuarantineCallbacks(
                 count_groups=count_groups,
                 is_trial_node=lambda part, at: self.is_trial_node(part, at),
                 on_quarantined=self._on_quarantined,
                 on_suspected=self._announce,
+                schedule=self._schedule_evaluation,
                 on_trial=self._on_trial,
                 on_released=self._on_released,
             ),
-            now(),
+            clock.now(),
         )
 
     def _on_quarantined(self, condemnation: Condemnation, is_first_hand: bool) -> None:
-        now = self._now()
+        now = self._clock.now()
         case = condemnation.case
         log_warning(
             "part_quarantined",
@@ -84,8 +86,11 @@
         if is_first_hand:
             self._announce()
 
+    def _schedule_evaluation(self, delay_s: float) -> None:
+        self._clock.after(delay_s, lambda: self.quarantine.evaluate(self._clock.now()))
+
     def _announce(self) -> None:
-        evidence = self.quarantine.evidence(self._now())
+        evidence = self.quarantine.evidence(self._clock.now())
         if evidence is not None:
             self.announce(evidence)
 
@@ -97,4 +102,4 @@
         self._count()
 
     def _count(self) -> None:
-        self._metrics.quarantined_parts.set({}, len(self.quarantine.statuses(self._now())))
+        self._metrics.quarantined_parts.set({}, len(self.quarantine.statuses(self._clock.now())))
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -117,7 +117,7 @@
         self.event_gap_tracker = EventGapTracker()
         self.metrics = GatewayMetrics()
         self.quarantine_link = QuarantineLink(
-            self.metrics, clock.now, lambda now: len(self.groups(now))
+            self.metrics, clock, lambda now: len(self.groups(now))
         )
         self.leaving = False
         self.has_served = False
--- a/briarpond/quarantine/__init__.py
+++ b/briarpond/quarantine/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from ._crashes import MAX_PARTS_PER_CRASH, MAX_REQUESTS_PER_CRASH
-from ._entries import FIRST_QUARANTINE_S, quarantine_s, trial_node
+from ._entries import LEVEL_IF_NEVER_SURVIVED, quarantine_s, trial_node
 from ._models import CrashKey, CrashReport, Evidence, QuarantineStatus, Survival
 from ._quarantine import (
     Block,
@@ -17,7 +17,7 @@
 from ._verdict import Case
 
 __all__ = [
-    "FIRST_QUARANTINE_S",
+    "LEVEL_IF_NEVER_SURVIVED",
     "MAX_PARTS_PER_CRASH",
     "MAX_REQUESTS_PER_CRASH",
     "Block",
--- a/briarpond/quarantine/_crashes.py
+++ b/briarpond/quarantine/_crashes.py
@@ -78,6 +78,11 @@
         """Return the crashes later than a time at which a request with `part` was on the server."""
         return [crash for crash in self._by_part.get(part, ()) if crash.at > after]
 
+    def parts_of(self, key: CrashKey) -> Set[PromptPart]:
+        """Return the parts of the requests that were on a server that ended."""
+        crash = self._crashes.get(key)
+        return frozenset() if crash is None else crash.parts
+
     def mentions(self, part: PromptPart) -> bool:
         """Whether a request with `part` was on a server that ended."""
         return part in self._by_part
--- a/briarpond/quarantine/_entries.py
+++ b/briarpond/quarantine/_entries.py
@@ -9,9 +9,15 @@
 
 from ._models import QuarantineStatus
 
-# Time from the last crash to the first trial; it doubles with each trial that fails.
-FIRST_QUARANTINE_S = 30.0
+# Time from the last crash to the next trial at level 0; each level doubles it.
+SHORTEST_QUARANTINE_S = 3.75
 LONGEST_QUARANTINE_S = 600.0
+# Levels at which a quarantine begins: low for a part that used to be harmless, since it may have
+# been blamed in error and many requests may share it.
+LEVEL_IF_NEVER_SURVIVED = 3
+LEVEL_IF_SURVIVED_BEFORE = 0
+# A higher level makes no difference.
+MAX_LEVEL = 16
 # A trial that has neither failed nor succeeded after this time may be followed by another.
 TRIAL_TIMEOUT_S = 15.0
 # A part that nobody asks for is forgotten this long after its quarantine.
@@ -21,8 +27,8 @@
 
 
 def quarantine_s(level: int) -> float:
-    """Return the seconds from the last crash to the next trial, after `level` failed trials."""
-    return min(LONGEST_QUARANTINE_S, FIRST_QUARANTINE_S * 2**level)
+    """Return the seconds from the last crash to the next trial."""
+    return min(LONGEST_QUARANTINE_S, SHORTEST_QUARANTINE_S * 2 ** min(level, MAX_LEVEL))
 
 
 class Entry(msgspec.Struct, eq=False):
@@ -35,7 +41,7 @@
     since : float
         Time of the last crash that is blamed on it.
     level : int
-        Number of trials that have failed.
+        How often the shortest time has been doubled; each failed trial adds one.
     trial_holder : str
         Id of the request that is tried at this node; empty if there is none.
     trial_until : float
@@ -44,7 +50,7 @@
 
     part: PromptPart
     since: float
-    level: int = 0
+    level: int = LEVEL_IF_NEVER_SURVIVED
     trial_holder: str = ""
     trial_until: float = float("-inf")
 
--- a/briarpond/quarantine/_models.py
+++ b/briarpond/quarantine/_models.py
@@ -61,7 +61,7 @@
     part : PromptPart
         The part.
     level : int
-        Number of trials that have failed; each doubles the time of the quarantine.
+        How often the shortest time of a quarantine has been doubled; each failed trial adds one.
     age_s : float
         Seconds since the quarantine began, or since the last failed trial.
     """
--- a/briarpond/quarantine/_quarantine.py
+++ b/briarpond/quarantine/_quarantine.py
@@ -4,6 +4,7 @@
 were survived: what arrives twice, late or in another order leads to the same state.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from enum import Enum
 
@@ -12,7 +13,7 @@
 from briarpond.ids import PromptPart
 
 from ._crashes import Crash, CrashLog, Request
-from ._entries import Entry
+from ._entries import LEVEL_IF_NEVER_SURVIVED, LEVEL_IF_SURVIVED_BEFORE, Entry
 from ._models import CrashKey, Evidence, QuarantineStatus, Survival
 from ._survivals import SurvivalLog
 from ._verdict import MIN_CRASHES, Case, count_causes
@@ -25,6 +26,8 @@
 MAX_QUARANTINES_TOLD = 16
 # Parts in quarantine; the oldest is dropped beyond that.
 MAX_ENTRIES = 512
+# After a crash, verdicts wait for the requests that other nodes had on the same server.
+COLLECT_S = 0.12
 # A node that has not observed for this long has not heard what was survived, and blames nothing.
 WARM_UP_S = 3.0
 # Times of the same event that came by different ways differ by less than this.
@@ -57,7 +60,7 @@
     part : PromptPart
         The part.
     level : int
-        Number of trials that have failed.
+        How often the shortest time has been doubled.
     crashes : tuple of Crash
         Crashes that are blamed on it; empty if another node has decided.
     case : Case or None
@@ -84,6 +87,8 @@
     on_suspected : callable
         Called when another server has ended at this node under a part that other servers
         ended under, and that is not in quarantine: other nodes should hear of it at once.
+    schedule : callable
+        Takes a number of seconds, after which `Quarantine.evaluate` is to be called.
     on_trial : callable
         Takes a part and the id of the request that is tried.
     on_released : callable
@@ -94,6 +99,7 @@
     is_trial_node: Callable[[PromptPart, float], bool]
     on_quarantined: Callable[[Condemnation, bool], None]
     on_suspected: Callable[[], None]
+    schedule: Callable[[float], None]
     on_trial: Callable[[PromptPart, str], None]
     on_released: Callable[[PromptPart, ReleaseReason], None]
 
@@ -113,6 +119,14 @@
     retry_after_s: float
 
 
+class _UnjudgedCrash(msgspec.Struct, frozen=True):
+    """A crash whose parts are judged once other nodes have had time to tell of it, too."""
+
+    due_at: float
+    key: CrashKey
+    is_first_hand: bool
+
+
 class Quarantine:
     """Evidence and verdicts of one node.
 
@@ -131,6 +145,7 @@
         self._survivals = SurvivalLog()
         self._survivals_told: dict[PromptPart, float] = {}
         self._entries: dict[PromptPart, Entry] = {}
+        self._unjudged: deque[_UnjudgedCrash] = deque()
 
     # Evidence
 
@@ -168,6 +183,16 @@
         )
         return None if evidence == Evidence() else evidence
 
+    def evaluate(self, now: float) -> None:
+        """Judge the parts of the crashes that other nodes have had time to tell of, too."""
+        parts: set[PromptPart] = set()
+        is_first_hand = False
+        while self._unjudged and self._unjudged[0].due_at <= now:
+            unjudged = self._unjudged.popleft()
+            parts |= self._crashes.parts_of(unjudged.key)
+            is_first_hand |= unjudged.is_first_hand
+        self._blame(parts, now, is_first_hand)
+
     def on_pause(self, now: float) -> None:
         """Blame nothing for a while, because this process was not running."""
         self._observing_since = now
@@ -228,7 +253,9 @@
             if self._survivals.last(part, now) > float("-inf"):
                 self._survivals_told[part] = now
             self._fail_trial(part, at, is_first_hand)
-        self._blame(parts, now, is_first_hand)
+        if parts:
+            self._unjudged.append(_UnjudgedCrash(now + COLLECT_S, key, is_first_hand))
+            self._callbacks.schedule(COLLECT_S)
 
     def _fail_trial(self, part: PromptPart, at: float, is_first_hand: bool) -> None:
         entry = self._entries.get(part)
@@ -262,8 +289,11 @@
 
     def _condemn(self, part: PromptPart, case: Case, now: float, is_first_hand: bool) -> None:
         crashes = self._unexplained_crashes(part, now)
-        self._add_entry(Entry(part, max(crash.at for crash in crashes)))
-        self._callbacks.on_quarantined(Condemnation(part, 0, tuple(crashes), case), is_first_hand)
+        is_new = case.survived_before_s is None
+        level = LEVEL_IF_NEVER_SURVIVED if is_new else LEVEL_IF_SURVIVED_BEFORE
+        self._add_entry(Entry(part, max(crash.at for crash in crashes), level))
+        condemnation = Condemnation(part, level, tuple(crashes), case)
+        self._callbacks.on_quarantined(condemnation, is_first_hand)
         self._release_explained(now)
 
     def _case(self, part: PromptPart, now: float) -> Case:
--- a/briarpond/quarantine/_verdict.py
+++ b/briarpond/quarantine/_verdict.py
@@ -18,7 +18,8 @@
 # A part that was survived this shortly before its last crash is not blamed: word of another
 # answer since then may still be under way.
 RECENT_SURVIVAL_S = 2.0
-# Different requests that must share a part, unless the part belongs to one request alone.
+# Different requests that must share a part, unless the part belongs to one request alone. A part
+# that used to be harmless needs one more: others may be aboard only because they are common.
 MIN_REQUESTS = 2
 
 
@@ -76,7 +77,8 @@
         """Whether requests with the part should no longer be sent."""
         if not self.is_suspicious:
             return False
-        if not self.is_own and self.requests < MIN_REQUESTS:
+        needed_requests = MIN_REQUESTS + int(self.survived_before_s is not None)
+        if not self.is_own and self.requests < needed_requests:
             return False
         return self.chance <= MAX_CHANCE
 
--- a/tests/directory/world.py
+++ b/tests/directory/world.py
@@ -88,6 +88,9 @@
                 is_trial_node=lambda part, now: False,
                 on_quarantined=self._on_quarantined,
                 on_suspected=self._tell_all,
+                schedule=lambda delay: self.world.after(
+                    delay, lambda: self.quarantine.evaluate(self.world.now)
+                ),
                 on_trial=lambda part, request_id: None,
                 on_released=lambda part, reason: None,
             ),
