A common part that was survived just now does not keep bystanders from being repeated

Cause: whether a request is repeated counted the crashes since a part was last survived and took no account of how long before; at a site where servers end all the time a common part is on most of them, and none of their requests would have been repeated. Found by reading. Evidence: test_request_whose_common_part_was_survived_just_now_is_repeated failed before.

--- a/briarpond/quarantine/_quarantine.py
+++ b/briarpond/quarantine/_quarantine.py
@@ -154,7 +154,7 @@
         requests = tuple(requests)
         self._add_crash(key, now, requests, now, is_first_hand=True)
         parts = {part for request in requests for part in request}
-        if any(self._should_be_told_at_once(part, now) for part in parts):
+        if any(part not in self._entries and self._is_suspicious(part, now) for part in parts):
             self._callbacks.on_suspected()
 
     def record_survival(self, parts: Iterable[PromptPart], began_at: float, now: float) -> None:
@@ -219,9 +219,7 @@
 
         A request with such a part is not repeated after its server has ended.
         """
-        return any(
-            part in self._entries or self._case(part, now).crashes >= MIN_CRASHES for part in parts
-        )
+        return any(part in self._entries or self._is_suspicious(part, now) for part in parts)
 
     # Operators
 
@@ -281,9 +279,8 @@
             suspects.discard(part)
             self._condemn(part, cases[part], now, is_first_hand)
 
-    def _should_be_told_at_once(self, part: PromptPart, now: float) -> bool:
-        """Whether crashes with a part are many, but not enough for this node's verdict."""
-        if part in self._entries or self._crashes.count_of(part) < MIN_CRASHES:
+    def _is_suspicious(self, part: PromptPart, now: float) -> bool:
+        if self._crashes.count_of(part) < MIN_CRASHES:
             return False
         return self._case(part, now).is_suspicious
 
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -203,6 +203,22 @@
     assert node.blocked("g m r2") is None
 
 
+def test_request_whose_part_others_ended_on_is_not_repeated(node):
+    node.crash("s1", "f bad r1")
+    assert not node.quarantine.is_suspect(["f", "bad", "r1"], node.now)
+    node.survive("f")
+    node.crash("s2", "f bad r1")
+    assert node.quarantine.is_suspect(["f", "bad", "r2"], node.now)
+
+
+# Guards against bystanders that are not repeated because a common part is on each server that ends.
+def test_request_whose_common_part_was_survived_just_now_is_repeated(node):
+    node.survive("f")
+    for number in range(4):
+        node.crash(f"s{number}", f"f r{number}", after_s=0.3)
+    assert not node.quarantine.is_suspect(["f", "r9"], node.now)
+
+
 def test_two_deadly_parts_are_both_found(node):
     for number in range(4):
         node.crash(f"s{number}", f"f bad1 r{number}", after_s=0.5)
