--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -180,6 +180,8 @@
         self.runs: list[tuple[float, str, str, str]] = []
         self.ready_members: set[tuple[str, int, str]] = set()
         self.sent: dict[str, float] = {}
+        # From which event on the next stream is spoiled; None for none.
+        self.spoil_next_from: int | None = None
         self._request_numbers = iter(range(1, 10_000_000))
 
     def record(self, text: str) -> None:
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -176,10 +176,17 @@
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         head += [f"{name}: {value}" for name, value in headers.items()]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        spoil_from, self.lab.spoil_next_from = self.lab.spoil_next_from, None
         for number in range(int(request.headers.get("last-event-id", 0)) + 1, self.events + 1):
             await asyncio.sleep(self.work_s)
             event = f"id: {number}\ndata: {request_id}\n\n".encode()
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            data = b"%x\r\n%b\r\n" % (len(event), event)
+            if spoil_from is not None and number >= spoil_from:
+                # Wrong bytes: the digit of the id, and then the length of the next event.
+                is_first = number == spoil_from
+                data = data.replace(b"id: %d" % number, b"id: \xb3") if is_first else b"\xb3" + data
+                self.lab.record(f"{self.id} spoils event {number} of {request_id}")
+            writer.write(data)
             await writer.drain()
         writer.write(b"0\r\n\r\n")
 
