--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -182,6 +182,9 @@
         self.sent: dict[str, float] = {}
         # From which event on the next stream is spoiled; None for none.
         self.spoil_next_from: int | None = None
+        # Part of a prompt that ends each server that begins an answer on it; empty for none.
+        self.deadly_part = ""
+        self.crashes: list[float] = []
         self._request_numbers = iter(range(1, 10_000_000))
 
     def record(self, text: str) -> None:
@@ -195,6 +198,11 @@
         self.runs.append((time.monotonic(), server.id, request_id, request.target))
         self.record(f"run {request_id} at {server.id} {request.target}")
 
+    def on_crash(self, server: Server) -> None:
+        """Note that a server has crashed."""
+        self.crashes.append(time.monotonic())
+        self.record(f"crash of {server.id}")
+
     def on_join(self, server: Server, order: dict) -> None:
         """Note that a server takes a join."""
         self.record(f"join {server.id} {order['group']} {order['members']}")
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -14,6 +14,8 @@
 LOAD_S = 0.4
 FORM_S = 0.3
 STALL_S = 4.0
+# How long a server is down that has crashed.
+BACK_S = 3.0
 
 _numbers = itertools.count(1)
 
@@ -56,13 +58,11 @@
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._heartbeat: asyncio.Task | None = None
+        self._restarting: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Listen and register."""
-        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._listener.sockets[0].getsockname()[1]}"
-        self._listed = True
-        self._heartbeat = asyncio.create_task(self._beat())
+        await self._listen("127.0.0.1", 0)
 
     def publish(self) -> float:
         """Write the entry; return the time of the store's ack."""
@@ -112,6 +112,27 @@
         self._listed = False
         self.lab.store.put("keyed.servers", self.id, b"")
 
+    def crash(self) -> None:
+        """End at once, and start again under the same id and address after `BACK_S`."""
+        if not self._listed:
+            return
+        self.lab.on_crash(self)
+        self.stop()
+        self.group, self.group_state = None, ""
+        self.highest_epoch, self.order_count = -1, 0
+        asyncio.get_running_loop().call_later(BACK_S, self._restart)
+
+    def _restart(self) -> None:
+        self._born_ms = int(time.time() * 1000)
+        host, port = self.address.split(":")
+        self._restarting = asyncio.create_task(self._listen(host, int(port)))
+
+    async def _listen(self, host: str, port: int) -> None:
+        self._listener = await asyncio.start_server(self._serve, host, port)
+        self.address = f"{host}:{self._listener.sockets[0].getsockname()[1]}"
+        self._listed = True
+        self._heartbeat = asyncio.create_task(self._beat())
+
     def stop(self) -> None:
         """End: reset all channels and listen no more."""
         self._listed = False
@@ -169,6 +190,11 @@
         }
         if self.idle_timeout_s is not None:
             headers["Keep-Alive"] = f"timeout={self.idle_timeout_s}"
+        parts = request.headers.get("x-briarpond-prompt-prefix", "")
+        if self.lab.deadly_part and f"{self.lab.deadly_part}:" in parts:
+            await asyncio.sleep(self.work_s)
+            self.crash()
+            return
         if "/stream/" not in request.target:
             await asyncio.sleep(self.work_s)
             writer.write(encode_answer(200, b"done " + request.body, headers))
