--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -17,6 +17,9 @@
 # How long a server is down that has crashed.
 BACK_S = 3.0
 
+# Piece of an answer that never ends: chunks of one byte.
+ENDLESS_PIECE = b"1\r\n.\r\n" * 10_000
+
 _numbers = itertools.count(1)
 
 
@@ -31,6 +34,8 @@
         Time that a request takes; for a stream, the pause between two events.
     events : int
         Events of a stream.
+    endless_share : float
+        Share of its answers whose body, in chunks of one byte, never ends.
     idle_timeout_s : int or None
         Seconds after which an idle channel is closed, stated in ``Keep-Alive``; None for never.
     """
@@ -44,6 +49,7 @@
         self.state = "ready"
         self.work_s = 0.02
         self.events = 10
+        self.endless_share = 0.0
         self.idle_timeout_s: int | None = None
         self.group: dict | None = None
         self.group_state = ""
@@ -195,6 +201,9 @@
             await asyncio.sleep(self.work_s)
             self.crash()
             return
+        if self.lab.rng.random() < self.endless_share:
+            await self._send_without_end(headers, writer)
+            return
         if "/stream/" not in request.target:
             await asyncio.sleep(self.work_s)
             writer.write(encode_answer(200, b"done " + request.body, headers))
@@ -216,6 +225,17 @@
             await writer.drain()
         writer.write(b"0\r\n\r\n")
 
+    async def _send_without_end(self, headers: dict[str, str], writer) -> None:
+        """Send bytes that are no answer until the caller closes, for 30 s at most."""
+        self.lab.record(f"{self.id} answers {headers['X-Briarpond-Request-Id']} without end")
+        head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
+        head += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        end = time.monotonic() + 30.0
+        while time.monotonic() < end and not writer.is_closing():
+            writer.write(ENDLESS_PIECE)
+            await writer.drain()
+
     # Groups
 
     def _report(self) -> dict:
