--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -21,6 +21,8 @@
 HOST = "shop.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
+# A case is ended after this time, in seconds.
+LONGEST_S = 115
 # Exit statuses of a case.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 BOUNDS = {
@@ -185,6 +187,9 @@
         # Part of a prompt that ends each server that begins an answer on it; empty for none.
         self.deadly_part = ""
         self.crashes: list[float] = []
+        # Joins that servers took while the head of their group was in use.
+        self.double_joins: list[str] = []
+        self.watch_ready = None
         self._request_numbers = iter(range(1, 10_000_000))
 
     def record(self, text: str) -> None:
@@ -204,11 +209,22 @@
         self.record(f"crash of {server.id}")
 
     def on_join(self, server: Server, order: dict) -> None:
-        """Note that a server takes a join."""
+        """Note that a server takes a join, and whether its present group is in use."""
         self.record(f"join {server.id} {order['group']} {order['members']}")
+        if server.group is None:
+            return
+        head = self.servers[server.group["members"][0]]
+        in_use = head.group == server.group and head.group_state in ("open", "closing")
+        if in_use and head.address:
+            name, state = server.group["group"], head.group_state
+            self.double_joins.append(f"{server.id} takes {order['group']}, {name} is {state}")
+            self.record(self.double_joins[-1])
 
     def on_ready(self, server: Server, order: dict) -> None:
         """Note that a member is ready."""
+        self.record(f"ready {server.id} {order['group']}")
+        if self.watch_ready is not None:
+            self.watch_ready(server, order)
         self.ready_members.add((order["group"], order["epoch"], server.id))
 
     # Set-up
@@ -326,8 +342,8 @@
     return {"name": name, "healthPath": "/healthz", "maxConns": 110}
 
 
-def model_service(name: str) -> dict:
-    """Return a service whose servers form groups of two."""
+def model_service(name: str, size: int = 2) -> dict:
+    """Return a service whose servers form groups of `size`."""
     return {
         "name": name,
         "healthPath": "/healthz",
@@ -336,7 +352,7 @@
             "slots": 9,
             "kvCapacity": 984705,
             "models": [
-                {"name": "m1", "size": 2, "share": 1.0, "pace": 0.6, "loadS": 12.0, "warmS": 1.1}
+                {"name": "m1", "size": size, "share": 1.0, "pace": 0.6, "loadS": 12.0, "warmS": 1.1}
             ],
             "step_ms": 7.8,
             "read_per_s": 45900.0,
@@ -353,8 +369,11 @@
 
     `play` returns a message if the rule was broken, and None if it held.
     """
+    signal.signal(signal.SIGALRM, lambda *_: _give_up(lab))
+    signal.alarm(LONGEST_S)
+    loop = asyncio.new_event_loop()
     try:
-        broken = asyncio.run(asyncio.wait_for(play(lab), 110.0))
+        broken = loop.run_until_complete(play(lab))
         status = HELD if broken is None else BROKEN
         verdict = "held" if broken is None else f"broken: {broken}"
     except (CaseError, TimeoutError, OSError) as exc:
@@ -372,6 +391,13 @@
     os._exit(status)
 
 
+def _give_up(lab: Lab) -> None:
+    """End a case that takes too long."""
+    lab.stop()
+    lab.write_record("not run: took too long")
+    os._exit(NOT_RUN)
+
+
 def _free_ports(hosts: list[str]) -> int:
     """Return the first of ten ports that are free at all hosts."""
     for base in range(21_000 + os.getpid() * 10 % 8_000, 32_000, 10):
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -56,6 +56,7 @@
         self.last_model = ""
         self.highest_epoch = -1
         self.order_count = 0
+        self.is_cut = False
         self.running = 0
         self.address = ""
         self._seq = 0
@@ -63,6 +64,7 @@
         self._born_ms = int(time.time() * 1000)
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._busy_writers: set[asyncio.StreamWriter] = set()
         self._heartbeat: asyncio.Task | None = None
         self._restarting: asyncio.Task | None = None
 
@@ -99,8 +101,21 @@
                 "rank": self.group["members"].index(self.id),
                 "state": self.group_state,
             }
+        if self.is_cut:
+            return time.monotonic()
         return self.lab.store.put("keyed.servers", self.id, json.dumps(entry).encode())
 
+    def cut_from_store(self) -> None:
+        """Cut the server from the store, which drops its entry after three heartbeats."""
+        self.is_cut = True
+        self.lab.record(f"server {self.id} cut from the store")
+
+        def drop_entry() -> None:
+            if self.is_cut:
+                self.lab.store.put("keyed.servers", self.id, b"")
+
+        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, drop_entry)
+
     async def _beat(self) -> None:
         while self._listed:
             self.publish()
@@ -183,10 +198,11 @@
             return
         self.lab.on_run(self, request, request_id)
         self.running += 1
+        self._busy_writers.add(writer)
         try:
             await self._run(request, request_id, writer)
         finally:
-            self.running -= 1
+            self._end_run(writer)
 
     async def _run(self, request: Request, request_id: str, writer) -> None:
         headers = {
@@ -265,7 +281,7 @@
             case "open":
                 return self._open()
             case "close":
-                self.group_state = "ready" if self.group_state == "open" else self.group_state
+                return self._close(order.get("closeMode") == "wait")
             case "leave":
                 self._leave()
             case _:
@@ -312,6 +328,27 @@
         asyncio.get_running_loop().call_later(FORM_S, serve)
         return 202
 
+    def _close(self, waits: bool) -> int:
+        """Stop taking requests; with `waits` the running ones may finish."""
+        if self.group_state not in ("open", "closing"):
+            return 200
+        if waits and self.running:
+            self.group_state = "closing"
+            self.publish()
+            return 202
+        self.group_state = "ready"
+        for writer in self._busy_writers:
+            writer.transport.abort()
+        self.publish()
+        return 200
+
+    def _end_run(self, writer) -> None:
+        self._busy_writers.discard(writer)
+        self.running -= 1
+        if self.group_state == "closing" and not self.running:
+            self.group_state = "ready"
+            self.publish()
+
     def _leave(self) -> None:
         order, self.group, self.group_state = self.group, None, ""
         if order is None or order["members"][0] == self.id:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -105,6 +105,12 @@
         self._expire_members()
         return None if self.holder is None else self.holder.rsplit(".", 1)[0]
 
+    @property
+    def member_nodes(self) -> set[str]:
+        """Names of the nodes that are members of the group at present."""
+        self._expire_members()
+        return {member.rsplit(".", 1)[0] for member in self.members}
+
     async def _serve(self, node: str, reader, writer) -> None:
         with contextlib.suppress(ConnectionError):
             while (request := await read_request(reader)) is not None:
