--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,74 +1,80 @@
-"""An entry of another writer in the list of servers, then a server that drains.
-
-The entry is bytes that cannot be read; with ``CASE=slots`` it can be read and names a service
-that the configuration does not.
-"""
+"""The head of a new group is cut from the store before it opens, and a member drains."""
 
 import asyncio
-import json
-import os
 import time
 from pathlib import Path
 
 from standins.lab import Lab, configuration, model_service, plain_service, route, run_case
 from standins.wire import Channel
 
-DRAIN_S = 2.0
-STABLE_WINDOW_S = 3.0
-FOREIGN_KEY = "inventory-7"
-# Not JSON: nothing closes what is opened.
-UNREADABLE_ENTRY = b'{"shelves":' + b"[" * 3000
-# The largest unsigned 32-bit number stands for "no limit".
-FOREIGN_ENTRY = {
-    "service": "inventory",
-    "addr": "127.0.0.1:9",
-    "zone": "hobart-a",
-    "version": "v3",
-    "slots": 4_294_967_295,
-    "state": "ready",
-    "seq": 1,
-}
+SIZE = 4
+FIRST_ENGINES, NEW_ENGINES = 10, 7
+DRAIN_AFTER_S = 1.5
+STREAMS_PER_S = 12.0
 
 
 async def play(lab: Lab) -> str | None:
     """Play the case; return what was broken."""
     for zone in ("hobart-a", "glenorchy-b", "kingston-c"):
         await lab.add_server("desk", zone)
-    for _ in range(4):
-        await lab.add_server("pool", "hobart-a", domain="d1")
-    routes = [route("look", "idempotent", "desk", maxAttempts=2)]
-    lab.store.put_config(configuration(1, routes, [plain_service("desk"), model_service("pool")]))
+    engines = [await _add_engine(lab, "d1") for _ in range(FIRST_ENGINES)]
+    stream = {"timeoutMs": 6000, "goalMs": 300, "gapGoalMs": 200, "maxAttempts": 2}
+    routes = [route("stream", "stream", "pool", sticky=True, resumable=True, **stream)]
+    services = [plain_service("desk"), model_service("pool", SIZE)]
+    lab.store.put_config(configuration(1, routes, services))
     await lab.start_nodes()
-    callers = [asyncio.create_task(_call(lab, node)) for node in lab.nodes for _ in range(2)]
-    await asyncio.sleep(5.0)
-    if lab.trouble:
-        is_readable = os.environ.get("CASE") == "slots"
-        entry = json.dumps(FOREIGN_ENTRY).encode() if is_readable else UNREADABLE_ENTRY
-        lab.store.put("keyed.servers", FOREIGN_KEY, entry)
-        lab.record("entry of another writer in the list of servers")
-    await asyncio.sleep(2 * STABLE_WINDOW_S)
-    leaving = next(server for server in lab.servers.values() if server.service == "desk")
-    acked_at = leaving.drain()
-    await asyncio.sleep(DRAIN_S + 6.0)
-    for caller in callers:
-        caller.cancel()
-    late = [run for run in lab.runs if run[1] == leaving.id and run[0] > acked_at + DRAIN_S]
-    lab.record(f"runs at {leaving.id} later than {DRAIN_S} s after the ack: {len(late)}")
-    if not late:
+    await asyncio.sleep(4.0)
+    callers = asyncio.create_task(_send(lab))
+    await asyncio.sleep(3.0)
+    opening: asyncio.Future = asyncio.get_running_loop().create_future()
+
+    def on_ready(server, order) -> None:
+        is_head = server.id == order["members"][0] and len(order["members"]) == SIZE
+        if is_head and server.domain == "d2" and not opening.done():
+            # After the server has reported that it is ready.
+            asyncio.get_running_loop().call_soon(_cut, lab, server, order, opening)
+
+    lab.watch_ready = on_ready
+    engines += [await _add_engine(lab, "d2") for _ in range(NEW_ENGINES)]
+    order = await asyncio.wait_for(opening, 30.0)
+    await asyncio.sleep(DRAIN_AFTER_S)
+    lab.servers[order["members"][1]].drain()
+    await asyncio.sleep(8.0)
+    callers.cancel()
+    if not lab.double_joins:
         return None
-    last_s = max(run[0] for run in late) - acked_at
-    return (
-        f"DRAIN: {len(late)} requests reached {leaving.id}, the last {last_s:.1f} s after the ack"
-    )
+    return f"TWO: {'; '.join(lab.double_joins)}"
+
+
+def _cut(lab: Lab, server, order: dict, opening: asyncio.Future) -> None:
+    if lab.trouble:
+        server.cut_from_store()
+    opening.set_result(order)
+
+
+async def _add_engine(lab: Lab, domain: str):
+    engine = await lab.add_server("pool", "hobart-a", domain=domain)
+    engine.work_s, engine.events = 0.1, 25
+    return engine
 
 
-async def _call(lab: Lab, node) -> None:
-    """Send requests over a kept channel, about six a second."""
-    channel = Channel(node.caller_address)
-    end = time.monotonic() + 60.0
+async def _send(lab: Lab) -> None:
+    """Send requests for streams to any node."""
+    tasks = set()
+    end = time.monotonic() + 90.0
     while time.monotonic() < end:
-        await lab.call(channel, "GET", "/look/job")
-        await asyncio.sleep(lab.rng.uniform(0.1, 0.2))
+        headers = lab.headers(
+            X_Briarpond_Model="m1",
+            X_Briarpond_Token_Usage="700,150",
+            X_Briarpond_Deadline_Ms="6000",
+            X_Briarpond_Prompt_Prefix=f"5c1e07a2:40,{lab.rng.getrandbits(32):08x}:660",
+        )
+        channel = Channel(lab.rng.choice(lab.nodes).caller_address)
+        call = lab.call(channel, "POST", "/stream/plan", headers, b"plan", 7.0)
+        task = asyncio.create_task(call)
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(lab.rng.expovariate(STREAMS_PER_S))
 
 
 run_case(Lab(Path(__file__).parent, node_count=3), play)
