--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,16 +8,19 @@
 from standins.wire import Channel
 
 SIZE = 4
-FIRST_ENGINES, NEW_ENGINES = 10, 7
+# Seven new servers beside thirty are within the largest share of the site, 0.25.
+FIRST_DOMAINS, ENGINES_PER_DOMAIN, NEW_ENGINES = 3, 10, 7
+NEW_DOMAIN = "new"
 DRAIN_AFTER_S = 1.5
-STREAMS_PER_S = 12.0
+STREAMS_PER_S = 30.0
 
 
 async def play(lab: Lab) -> str | None:
     """Play the case; return what was broken."""
     for zone in ("hobart-a", "glenorchy-b", "kingston-c"):
         await lab.add_server("desk", zone)
-    engines = [await _add_engine(lab, "d1") for _ in range(FIRST_ENGINES)]
+    for number in range(FIRST_DOMAINS * ENGINES_PER_DOMAIN):
+        await _add_engine(lab, f"d{number % FIRST_DOMAINS}")
     stream = {"timeoutMs": 6000, "goalMs": 300, "gapGoalMs": 200, "maxAttempts": 2}
     routes = [route("stream", "stream", "pool", sticky=True, resumable=True, **stream)]
     services = [plain_service("desk"), model_service("pool", SIZE)]
@@ -30,12 +33,13 @@
 
     def on_ready(server, order) -> None:
         is_head = server.id == order["members"][0] and len(order["members"]) == SIZE
-        if is_head and server.domain == "d2" and not opening.done():
+        if is_head and server.domain == NEW_DOMAIN and not opening.done():
             # After the server has reported that it is ready.
             asyncio.get_running_loop().call_soon(_cut, lab, server, order, opening)
 
     lab.watch_ready = on_ready
-    engines += [await _add_engine(lab, "d2") for _ in range(NEW_ENGINES)]
+    for _ in range(NEW_ENGINES):
+        await _add_engine(lab, NEW_DOMAIN)
     order = await asyncio.wait_for(opening, 30.0)
     await asyncio.sleep(DRAIN_AFTER_S)
     lab.servers[order["members"][1]].drain()
