Header bytes outside ASCII pass unchanged in both directions

An answer with such a header never reached its caller.

Cause: received values were decoded as Latin-1, but handed back to h11 as text, which it encodes as ASCII. The encoder raised in the client after the connection was tied to the call, and in the server in the middle of an answer.

Evidence: both new tests failed before (call lost; empty answer), pass now. HTTP allows these bytes (obs-text), and h11 checks them by the same rule when it receives and when it sends.

Names and values are decoded and encoded in one module.

--- a/briarpond/net/__init__.py
+++ b/briarpond/net/__init__.py
@@ -7,7 +7,8 @@
 from ._address import Address
 from ._clock import Clock, Timer
 from ._guard import run_guarded
-from ._http_client import CallState, Exchange, Headers, HttpCall, HttpClient
+from ._headers import Headers
+from ._http_client import CallState, Exchange, HttpCall, HttpClient
 from ._http_server import CallerConnection, HttpReply, HttpRequest, HttpServer, HttpServerLimits
 from ._listener import TcpListener
 from ._loss import LossReason
--- /dev/null
+++ b/briarpond/net/_headers.py
@@ -0,0 +1,26 @@
+"""Header names and values: text in the process, bytes on the wire.
+
+HTTP allows bytes outside ASCII in values (``obs-text``, RFC 9110, section 5.5). They are
+decoded as Latin-1, which maps each byte to one character, so that they pass unchanged.
+"""
+
+from collections.abc import Iterable
+
+# Names and values; names of received headers are in lower case.
+Headers = tuple[tuple[str, str], ...]
+
+
+def decode_headers(pairs: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return received headers as text."""
+    return tuple((name.decode("ascii"), value.decode("latin-1")) for name, value in pairs)
+
+
+def encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    """Return headers as bytes.
+
+    Raises
+    ------
+    UnicodeEncodeError
+        If a name is not ASCII, or a value has a character that is no byte of Latin-1.
+    """
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -15,6 +15,7 @@
 
 from ._address import Address
 from ._clock import Clock, Timer
+from ._headers import Headers, decode_headers, encode_headers
 from ._loss import LossReason
 from ._outbound import Connection, Connector
 
@@ -28,9 +29,6 @@
 # Largest answer to `HttpClient.fetch`; a larger one fails as malformed.
 MAX_FETCH_BYTES = 16 * 1024 * 1024
 
-# Names and values; names of received headers are in lower case.
-Headers = tuple[tuple[str, str], ...]
-
 
 class CallState(Enum):
     """Progress of a call.
@@ -159,7 +157,9 @@
             headers.insert(0, ("Host", str(call.address)))
         if call.body or call.method not in ("GET", "HEAD"):
             headers.append(("Content-Length", str(len(call.body))))
-        request = h11.Request(method=call.method, target=call.target, headers=headers)
+        request = h11.Request(
+            method=call.method, target=call.target, headers=encode_headers(headers)
+        )
         data = self._h11.send(request) or b""
         if call.body:
             data += self._h11.send(h11.Data(data=call.body)) or b""
@@ -209,7 +209,7 @@
 
     def _on_response_head(self, event: h11.Response) -> None:
         """Pass the head on, unless `HttpCall.echoed_header` shows an answer to another request."""
-        headers = _decode_headers(event.headers)
+        headers = decode_headers(event.headers)
         echo = self._call.echoed_header
         if echo is not None:
             echoed = next((value for name, value in headers if name == echo[0]), None)
@@ -442,7 +442,3 @@
             if match is not None:
                 return min(IDLE_TIMEOUT_S, int(match[1]) - KEEP_ALIVE_MARGIN_S)
     return IDLE_TIMEOUT_S
-
-
-def _decode_headers(headers: h11._headers.Headers) -> Headers:
-    return tuple((name.decode("ascii"), value.decode("latin-1")) for name, value in headers)
--- a/briarpond/net/_http_server.py
+++ b/briarpond/net/_http_server.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ._clock import Clock
+from ._headers import Headers, decode_headers, encode_headers
 from ._outbound import Connection
 
 # Interval of the check for connections that have timed out.
@@ -20,8 +21,6 @@
 # A connection with more buffered bytes that the caller has not read is closed.
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
 
-Headers = tuple[tuple[str, str], ...]
-
 
 class HttpRequest(msgspec.Struct):
     """A complete request.
@@ -251,7 +250,7 @@
         """Send the head of the answer."""
         if self._server.closing and not any(name.lower() == "connection" for name, _ in headers):
             headers = (*headers, ("Connection", "close"))
-        response = h11.Response(status_code=status, headers=headers)
+        response = h11.Response(status_code=status, headers=encode_headers(headers))
         self._send(self._h11.send(response))
 
     def send_data(self, data: bytes) -> None:
@@ -363,13 +362,10 @@
         event = self._request
         assert event is not None
         self.phase = ConnectionPhase.ANSWERING
-        headers = tuple(
-            (name.decode("ascii"), value.decode("latin-1")) for name, value in event.headers
-        )
         request = HttpRequest(
             event.method.decode("ascii"),
             event.target.decode("latin-1"),
-            headers,
+            decode_headers(event.headers),
             bytes(self._body),
             self._server.clock.now(),
         )
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -425,3 +425,49 @@
     client = HttpClient(loop.connector, loop.clock)
     progress, _ = call(loop, client, ScriptedServer([HEADS[1] + body]))
     assert progress in ([200, "connection-lost"], [200, "malformed"])
+
+
+OBS_TEXT = "Jürgen Hämäläinen".encode("latin-1")
+
+
+# Guards against one header outside ASCII that ends the process which passes the request on.
+def test_header_bytes_outside_ascii_are_sent_unchanged(loop):
+    received = []
+
+    class RecordingServer(ScriptedServer):
+        def run(self):
+            conn, _ = self.sock.accept()
+            received.append(conn.recv(65536))
+            conn.sendall(answer(b"a"))
+            conn.close()
+
+    client = HttpClient(loop.connector, loop.clock)
+    server = RecordingServer([])
+    headers = (("x-id", "a"), ("x-customer", OBS_TEXT.decode("latin-1")))
+    ends = []
+    http_call = HttpCall(
+        server.address,
+        "GET",
+        "/",
+        headers,
+        b"",
+        lambda *_: None,
+        bytes,
+        lambda: ends.append(1),
+        ends.append,
+    )
+    loop.clock.after(0.0, lambda: client.start(http_call))
+    loop.wait_until(lambda: ends)
+    assert ends == [1]
+    assert b"x-customer: " + OBS_TEXT + b"\r\n" in received[0]
+
+
+# Guards against an answer that never reaches its caller because of one header outside ASCII.
+def test_answer_with_header_bytes_outside_ascii_reaches_the_caller(loop):
+    def handle(request, reply):
+        reply.send_whole(200, (("x-customer", request.header("x-customer")),), b"ok")
+
+    _, port = serve(loop, handle)
+    request = b"GET / HTTP/1.1\r\nHost: a\r\nX-Customer: " + OBS_TEXT + b"\r\n\r\n"
+    received = send_as_caller(loop, port, request, until=b"ok")
+    assert b"x-customer: " + OBS_TEXT + b"\r\n" in received and received.endswith(b"ok")
