A call that cannot be encoded is never tied to a connection

Cause: `HttpClient.start` tied a kept connection to the call and encoded the request after that. When the encoder raised, the connection stayed tied to a call that its request knew nothing of; when the server closed it 5 s later, `on_lost` reached a request without a server, whose assertion ended the process. `fetch` had the same fault: its caller, such as the reader of the store, was never called back.

Change: the request is encoded before a connection is chosen. A failure is reported once, from the loop, as `LossReason.INVALID_REQUEST`; `LossReason.not_sent` tells both interfaces that nothing can have run. The name of a client account is sent as UTF-8, so that it always encodes.

--- a/briarpond/daemon/_log_link.py
+++ b/briarpond/daemon/_log_link.py
@@ -135,7 +135,7 @@
 
         def on_lost(reason: LossReason) -> None:
             node.metrics.log_appends.inc({"result": reason.value})
-            if reason is LossReason.CONNECT_FAILED:
+            if reason.not_sent:
                 node.outbox.on_refused(node.clock.now())
             else:
                 node.outbox.on_unknown_outcome(node.clock.now())
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -317,7 +317,8 @@
         headers.append((PlatformHeader.DEADLINE_MS, str(remaining_ms)))
         headers.append((PlatformHeader.EXPECT_INSTANCE, server))
         if self._tenant is not None:
-            headers.append((PlatformHeader.TENANT, self._tenant.name))
+            # A name may have characters beyond those of a header: its bytes in UTF-8 are sent.
+            headers.append((PlatformHeader.TENANT, self._tenant.name.encode().decode("latin-1")))
         last_event = self._last_event()
         if last_event is not None:
             headers.append((PlatformHeader.LAST_EVENT_ID, last_event))
@@ -451,6 +452,7 @@
         self._log_lost_send(reason.value, now)
         if reason is LossReason.CONNECT_FAILED:
             self._report_stalled(self.server)
+        if reason.not_sent:
             self._failed_connects += 1
             self._on_send_failed(SendFailure.NOT_SENT, reason.value)
         else:
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -13,6 +13,8 @@
 import h11
 import msgspec
 
+from briarpond.logs import log_warning
+
 from ._address import Address
 from ._clock import Clock, Timer
 from ._headers import Headers, decode_headers, encode_headers
@@ -99,13 +101,21 @@
 
 
 class Exchange:
-    """One call in progress and its connection."""
+    """One call in progress and its connection.
+
+    Raises
+    ------
+    UnicodeEncodeError, h11.LocalProtocolError
+        If the request cannot be encoded.
+    """
 
     def __init__(self, client: "HttpClient", call: HttpCall) -> None:
         self.state = CallState.CONNECTING
         self._client = client
         self._call = call
         self._h11 = h11.Connection(h11.CLIENT)
+        # Encoded before any connection is used, so that an error here leaves none tied to the call.
+        self._request_data = self._encode_request()
         self._conn: Connection | None = None
         self._idle_timeout_s = IDLE_TIMEOUT_S
         self._discarding = False
@@ -142,12 +152,11 @@
         """Send the request on the established connection."""
         assert self._conn is not None
         call = self._call
-        data = self._encode_request()
         self.state = CallState.SENT
         # Called before the first byte is sent: from here on the request may have run.
         if call.on_sent is not None:
             call.on_sent()
-        self._conn.send(data)
+        self._conn.send(self._request_data)
 
     def _encode_request(self) -> bytes:
         """Encode the request; the h11 connection then expects the answer to it."""
@@ -259,6 +268,31 @@
         self._call.on_lost(reason)
 
 
+class UnsendableCall:
+    """A call whose request cannot be encoded; it is reported as lost from the loop."""
+
+    def __init__(self, call: HttpCall, clock: Clock) -> None:
+        self.state = CallState.CONNECTING
+        self.fresh = False
+        self._on_lost = call.on_lost
+        clock.after(0.0, self._report)
+
+    def cancel(self) -> None:
+        """Report nothing."""
+        self.state = CallState.ENDED
+
+    def pause(self) -> None:
+        """Do nothing: there is no answer to read."""
+
+    def resume(self) -> None:
+        """Do nothing: there is no answer to read."""
+
+    def _report(self) -> None:
+        if self.state is not CallState.ENDED:
+            self.state = CallState.ENDED
+            self._on_lost(LossReason.INVALID_REQUEST)
+
+
 class _IdleCallbacks:
     """Drops an idle connection once it ends or receives bytes that answer no request."""
 
@@ -298,13 +332,18 @@
         self._max_idle_per_address = max_idle_per_address
         self._idle: dict[Address, deque[tuple[float, Connection]]] = defaultdict(deque)
 
-    def start(self, call: HttpCall) -> Exchange:
+    def start(self, call: HttpCall) -> "Exchange | UnsendableCall":
         """Start a call.
 
         The functions of `call` are called later from the loop. Only `on_sent` may be
-        called before this method returns, when an idle connection is used.
+        called before this method returns, when an idle connection is used. A request that
+        cannot be encoded is reported to `on_lost`, too.
         """
-        exchange = Exchange(self, call)
+        try:
+            exchange = Exchange(self, call)
+        except (UnicodeEncodeError, h11.LocalProtocolError) as exc:
+            log_warning("request_invalid", address=call.address, error=repr(exc))
+            return UnsendableCall(call, self._clock)
         conn = self._take_idle(call.address) if call.reuse_idle else None
         if conn is None:
             conn = self._connector.open(call.address, exchange, call.connect_timeout_s)
@@ -322,7 +361,7 @@
         timeout_s: float,
         on_answer: Callable[[int, bytes], None],
         on_failure: Callable[[LossReason], None],
-    ) -> Exchange:
+    ) -> Exchange | UnsendableCall:
         """Send a request whose small answer is collected in memory.
 
         An idle connection may be used.
--- a/briarpond/net/_loss.py
+++ b/briarpond/net/_loss.py
@@ -10,6 +10,8 @@
     ----------
     CONNECT_FAILED
         No connection was established, so the request was not sent.
+    INVALID_REQUEST
+        The request cannot be written as HTTP, so it was not sent.
     CONNECTION_LOST
         The connection ended after the request was sent.
     MALFORMED
@@ -19,6 +21,12 @@
     """
 
     CONNECT_FAILED = "connect-failed"
+    INVALID_REQUEST = "invalid-request"
     CONNECTION_LOST = "connection-lost"
     MALFORMED = "malformed"
     TIMEOUT = "timeout"
+
+    @property
+    def not_sent(self) -> bool:
+        """Whether no byte of the request can have reached the server."""
+        return self in (LossReason.CONNECT_FAILED, LossReason.INVALID_REQUEST)
--- a/briarpond/requests/_machine.py
+++ b/briarpond/requests/_machine.py
@@ -335,7 +335,7 @@
         if attempt != self._attempt or self.done:
             return []
         assert self.target is not None
-        if reason is LossReason.CONNECT_FAILED and self.stage is Stage.CONNECTING:
+        if reason.not_sent and self.stage is Stage.CONNECTING:
             self._avoid(self.target)
             return self._retry_not_run(now, RefusalCode.NO_READY_BACKEND)
         self._earlier_attempt_may_have_run = True
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -471,3 +471,49 @@
     request = b"GET / HTTP/1.1\r\nHost: a\r\nX-Customer: " + OBS_TEXT + b"\r\n\r\n"
     received = send_as_caller(loop, port, request, until=b"ok")
     assert b"x-customer: " + OBS_TEXT + b"\r\n" in received and received.endswith(b"ok")
+
+
+def broken_call(server, events, header=("x-note", "\x00")):
+    """Return a call that cannot be encoded; what it reports is appended to `events`."""
+    return HttpCall(
+        server.address,
+        "GET",
+        "/",
+        (header,),
+        b"",
+        lambda *_: events.append("head"),
+        bytes,
+        lambda: events.append("end"),
+        lambda reason: events.append(reason.value),
+        lambda: events.append("sent"),
+    )
+
+
+# Guards against a call that fails before it is sent and stays tied to a kept connection: the
+# end of that connection, seconds later, was reported to a request that no longer had a server.
+@pytest.mark.parametrize("header", [("x-note", "\x00"), ("x-note", "\u0142"), ("x note", "a")])
+def test_call_that_cannot_be_encoded_ends_once_and_leaves_kept_connections_alone(loop, header):
+    server = ScriptedServer([answer(b"a"), answer(b"b")])
+    client = HttpClient(loop.connector, loop.clock)
+    call(loop, client, server, "a")
+    events = []
+    loop.clock.after(0.0, lambda: client.start(broken_call(server, events, header)))
+    loop.wait_until(lambda: events)
+    assert call(loop, client, server, "b") == ([200, "end"], b"ok")
+    loop.wait_until(lambda: not client.has_idle(server.address))
+    assert events == ["invalid-request"] and server.connections == 1
+
+
+# Guards against a store's reader or a timer that waits for ever for a call that never began.
+def test_fetch_that_cannot_be_encoded_reports_its_failure(loop):
+    server = ScriptedServer([answer(b"a")])
+    client = HttpClient(loop.connector, loop.clock)
+    failures = []
+
+    def fetch():
+        headers = (("x-note", "\u0142"),)
+        client.fetch(server.address, "GET", "/", headers, b"", 5.0, print, failures.append)
+
+    loop.clock.after(0.0, fetch)
+    loop.wait_until(lambda: failures, 2.0)
+    assert [reason.value for reason in failures] == ["invalid-request"]
