An unexpected error ends one request, not the process

Cause: `run_guarded` let every AssertionError end the process, though the assertions of the gateway guard the state of one request, connection or message. A request whose handling raised was not ended either; if it was held, the loop over the held ones stopped there at each turn.

Change: only `BrokenInvariantError` ends the process; the fold of the log raises it when records come out of order, which is shared state. Each step of a request runs confined: if it raises, the request ends at once with its true outcome, 503 if nothing was sent, 502 if it may have run. The end of a send that was given up is ignored. The own interface's listener closes the connection of a request whose handler raises.

--- a/briarpond/daemon/_inbound.py
+++ b/briarpond/daemon/_inbound.py
@@ -16,7 +16,7 @@
 from circuits.web.wrappers import Request, Response
 
 from briarpond.conf import Address, LimitSettings
-from briarpond.net import Clock
+from briarpond.net import Clock, run_guarded
 
 from ._framing import RequestFrame
 
@@ -320,7 +320,8 @@
             return True
         reply = Reply(self, request, response)
         connection.reply = reply
-        self._handle(request, reply)
+        if not run_guarded("request", self._handle, request, reply):
+            self.drop(request.sock)
         return True
 
     @handler("write", priority=1)
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -1,6 +1,7 @@
 """Forwarding of one request: its sends to backend servers and its answer to the caller."""
 
 from collections.abc import Callable
+from functools import partial
 
 from briarpond.dispatch import (
     AdmissionAction,
@@ -23,6 +24,7 @@
     HttpRequest,
     LossReason,
     media_type,
+    run_guarded,
 )
 from briarpond.platform import (
     HOP_BY_HOP_HEADERS,
@@ -183,6 +185,9 @@
 
     def try_send(self) -> None:
         """Send the request to the best server, hold it until one has room, or refuse it."""
+        self._run_confined(self._try_send)
+
+    def _try_send(self) -> None:
         if self.done or self._exchange is not None:
             return
         now = self._state.clock.now()
@@ -295,10 +300,10 @@
             self._request.target,
             self._request_headers(choice.instance, now),
             self._request.body,
-            self._on_head,
-            self._on_body,
-            self._on_end,
-            self._on_lost,
+            partial(self._run_confined, self._on_head),
+            partial(self._run_confined, self._on_body),
+            partial(self._run_confined, self._on_end),
+            partial(self._run_confined, self._on_lost),
             self._on_sent,
             # Only an id tells this request's answer from a late one to an earlier request.
             reuse_idle=self.route.repeatable and self._request_id is not None,
@@ -447,8 +452,9 @@
         return not has_events and not self._send_state.is_framed
 
     def _on_lost(self, reason: LossReason) -> None:
+        if self.server is None:
+            return  # The send was given up before.
         now = self._state.clock.now()
-        assert self.server is not None
         self._log_lost_send(reason.value, now)
         if reason is LossReason.CONNECT_FAILED:
             self._report_stalled(self.server)
@@ -528,6 +534,13 @@
 
     # End of the request
 
+    def _run_confined(self, step: Callable[..., None], *args: object) -> None:
+        """Run a step of this request; if it raises, end this request and no other."""
+        if run_guarded("request", step, *args) or self.done:
+            return
+        self._reason = "internal_error"
+        self._end_without_answer(0.0)
+
     def _end_without_answer(self, retry_after_s: float) -> None:
         """End a request that got no complete answer.
 
--- a/briarpond/journal/_fold.py
+++ b/briarpond/journal/_fold.py
@@ -12,6 +12,7 @@
 
 from briarpond.configuration import PatchProblemCode, apply_patch, changed_paths
 from briarpond.ids import InstanceId, Position
+from briarpond.invariants import BrokenInvariantError
 
 from ._models import (
     Claim,
@@ -72,13 +73,14 @@
 
     Raises
     ------
-    AssertionError
+    BrokenInvariantError
         If `position` is not greater than ``state.position``: records were
         folded out of order, which is a fault of the calling code.
     """
-    assert (
-        position > state.position
-    ), f"record at position {position} folded into a state at position {state.position}"
+    if position <= state.position:
+        raise BrokenInvariantError(
+            f"record at position {position} folded into a state at position {state.position}"
+        )
     if isinstance(record, SnapshotPart):
         return replace(state, position=position)
     if record.id in state.verdicts:
--- a/briarpond/net/_guard.py
+++ b/briarpond/net/_guard.py
@@ -3,14 +3,15 @@
 import traceback
 from collections.abc import Callable
 
+from briarpond.invariants import BrokenInvariantError
 from briarpond.logs import log_warning
 
 
 def run_guarded(source: str, function: Callable[..., object], *args: object) -> bool:
     """Call a function; log an unexpected error instead of letting it end the process.
 
-    A failed assertion means that the state in memory can no longer be trusted; it is not
-    confined, so the process ends.
+    A failed assertion, too, costs only what the call was for: one connection, datagram or
+    timer. `BrokenInvariantError` is not confined, so the process ends.
 
     Parameters
     ----------
@@ -24,7 +25,7 @@
     """
     try:
         function(*args)
-    except AssertionError:
+    except BrokenInvariantError:
         raise
     except Exception as exc:
         trace = "".join(traceback.format_tb(exc.__traceback__)[-3:])
