Numbers in headers are read with a bound

Callers saw: a request with a deadline, a token count or a length hint that int() can't take (a superscript digit, thousands of digits) was closed without an answer; a deadline of 400 digits overflowed a float. On the own interface such a deadline ended the process.

Cause: `str.isdigit` is true for more than the digits that int() takes, int() refuses thousands of digits, and nothing bounded the value.

Change: `net.parse_count` is the one place that reads a count of a header, ASCII digits only and up to a largest value. The timeout of Keep-Alive is read from nine digits at most.

--- a/briarpond/daemon/_callers.py
+++ b/briarpond/daemon/_callers.py
@@ -10,6 +10,7 @@
 from briarpond.configuration import AccountConfig, ServiceConfig
 from briarpond.ids import AccountId, AttemptId, RequestKey
 from briarpond.journal import Node, NodeStage
+from briarpond.net import parse_count
 from briarpond.nodes import entry_list
 from briarpond.requests import (
     Outcome,
@@ -35,7 +36,7 @@
 IDEMPOTENT_HEADER = "Briarpond-Idempotent"
 KEY_HEADER = "Idempotency-Key"
 # Longest time that a caller may set as its deadline, and the default.
-MAX_DEADLINE_S = 600.0
+MAX_DEADLINE_MS = 600_000
 # Tokens charged to the account for a request that sets no limit of its own.
 DEFAULT_MAX_TOKENS = 512
 _KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,255}$")
@@ -322,15 +323,15 @@
         key = request.headers.get(KEY_HEADER)
         if key is not None and not _KEY_PATTERN.match(key):
             return _invalid_request("Idempotency-Key must be 1 to 255 visible ASCII characters.")
-        deadline_ms = request.headers.get(DEADLINE_HEADER, "")
-        if deadline_ms and not (deadline_ms.isascii() and deadline_ms.isdigit()):
+        deadline = request.headers.get(DEADLINE_HEADER) or str(MAX_DEADLINE_MS)
+        deadline_ms = parse_count(deadline, MAX_DEADLINE_MS)
+        if deadline_ms is None:
             return _invalid_request(f"{DEADLINE_HEADER} must be a whole number of milliseconds.")
-        limit_s = min(MAX_DEADLINE_S, int(deadline_ms) / 1000.0) if deadline_ms else MAX_DEADLINE_S
         return RequestSpec(
             account,
             kind,
             idempotent and key is None,
-            self._node.clock.now() + limit_s,
+            self._node.clock.now() + deadline_ms / 1000,
             max_silence_s,
             RequestKey(f"{account}/{key}") if key is not None else None,
             max_whole_answer_bytes=self._node.settings.limits.whole_answer_bytes,
--- a/briarpond/daemon/_operators.py
+++ b/briarpond/daemon/_operators.py
@@ -12,6 +12,7 @@
 from briarpond.ids import OperatorName
 from briarpond.journal import GroupPhase, OperatorAction, PatchSubmit, RecordOutcome
 from briarpond.logs import log_event
+from briarpond.net import parse_count
 
 from ._inbound import Reply
 from ._node import NodeContext
@@ -359,9 +360,8 @@
         self._send_json(reply, 200, NodesAnswer(rows))
 
     def _send_audit(self, request: Request, reply: Reply) -> None:
-        text = (request.qs or "").removeprefix("limit=")
-        limit = int(text) if text.isascii() and text.isdigit() else DEFAULT_AUDIT_LINES
-        lines = audit_lines(self._node.tail.state, min(limit, MAX_AUDIT_LINES))
+        limit = parse_count((request.qs or "").removeprefix("limit="), MAX_AUDIT_LINES)
+        lines = audit_lines(self._node.tail.state, DEFAULT_AUDIT_LINES if limit is None else limit)
         self._send_json(reply, 200, AuditAnswer(lines))
 
     def _send_status(self, reply: Reply) -> None:
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -24,6 +24,7 @@
     HttpRequest,
     LossReason,
     media_type,
+    parse_count,
     run_guarded,
 )
 from briarpond.platform import (
@@ -51,6 +52,8 @@
 MAX_EVENT_BYTES = 1024 * 1024
 # Time allowed for a request without a deadline header; the route's timeout also applies.
 DEFAULT_DEADLINE_S = 30.0
+# A longer deadline is read as this.
+MAX_DEADLINE_MS = 86_400_000
 # Statuses with which a server may state that it has not executed a request.
 NOT_EXECUTED_STATUSES = frozenset({421, 429, 503})
 # Headers of the caller that are not sent to servers; some are replaced by the node's own.
@@ -153,10 +156,8 @@
         self._send_state = SendState(request.read_at)
         self._quarantined_part: PromptPart | None = None
         self._reason = ""
-        deadline_ms = request.header(PlatformHeader.DEADLINE_MS)
-        allowed_s = (
-            int(deadline_ms) / 1000 if deadline_ms and deadline_ms.isdigit() else DEFAULT_DEADLINE_S
-        )
+        deadline_ms = parse_count(request.header(PlatformHeader.DEADLINE_MS), MAX_DEADLINE_MS)
+        allowed_s = DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / 1000
         self._deadline = request.read_at + allowed_s
         self._expires_at = request.read_at + min(allowed_s, route.timeout_s)
         self.model = ModelName(request.header(PlatformHeader.MODEL) or "")
@@ -644,10 +645,6 @@
     """
     token_counts = parse_token_counts(request.header(PlatformHeader.TOKEN_USAGE))
     prompt_tokens, max_answer_tokens = token_counts or (0, 0)
-    hint = request.header(PlatformHeader.LENGTH_HINT)
-    answer_tokens = (
-        min(int(hint), max_answer_tokens)
-        if hint and hint.isdigit() and max_answer_tokens
-        else max_answer_tokens
-    )
+    hint = parse_count(request.header(PlatformHeader.LENGTH_HINT), max_answer_tokens)
+    answer_tokens = max_answer_tokens if hint is None else hint
     return RequestSize(prompt_tokens, answer_tokens)
--- a/briarpond/net/_headers.py
+++ b/briarpond/net/_headers.py
@@ -9,6 +9,8 @@
 # Names and values; names of received headers are in lower case.
 Headers = tuple[tuple[str, str], ...]
 
+_MAX_DIGITS = 18
+
 
 def decode_headers(pairs: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return received headers as text."""
@@ -24,3 +26,19 @@
         If a name is not ASCII, or a value has a character that is no byte of Latin-1.
     """
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
+def parse_count(text: str | None, largest: int) -> int | None:
+    """Return a non-negative decimal number, or None if the text is none.
+
+    Parameters
+    ----------
+    text : str or None
+        Value of a header, or part of one.
+    largest : int
+        Returned for any larger number.
+    """
+    if text is None or not (text.isascii() and text.isdigit()):
+        return None
+    # Long texts are not converted: the interpreter refuses thousands of digits.
+    return min(int(text), largest) if len(text) <= _MAX_DIGITS else largest
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -27,7 +27,7 @@
 # An idle connection is dropped this long before the server closes it, so that a new
 # request still reaches the server in time.
 KEEP_ALIVE_MARGIN_S = 0.5
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,9})")
 # Largest answer to `HttpClient.fetch`; a larger one fails as malformed.
 MAX_FETCH_BYTES = 16 * 1024 * 1024
 
--- a/briarpond/platform/_headers.py
+++ b/briarpond/platform/_headers.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from briarpond.ids import PromptPart
+from briarpond.net import parse_count
 
 
 class PlatformHeader:
@@ -81,6 +82,8 @@
 _BEARER_PREFIX = "bearer "
 # Parts of a prompt that are read; a longer list is cut off.
 MAX_PROMPT_PARTS = 64
+# Larger counts of requests or tokens are read as this.
+MAX_COUNT = 10_000_000
 # Longest name of a part that is read.
 MAX_PART_NAME = 32
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
@@ -117,10 +120,8 @@
 
     Returns None if the header is missing or not three non-negative integers.
     """
-    parts = value.split(",") if value else []
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return ServerLoad(*(int(part) for part in parts))
+    counts = _parse_counts(value)
+    return ServerLoad(*counts) if counts is not None and len(counts) == 3 else None
 
 
 def parse_token_counts(value: str | None) -> tuple[int, int] | None:
@@ -128,10 +129,16 @@
 
     Returns None if the header is missing or not two non-negative integers.
     """
+    counts = _parse_counts(value)
+    return (counts[0], counts[1]) if counts is not None and len(counts) == 2 else None
+
+
+def _parse_counts(value: str | None) -> list[int] | None:
+    """Parse comma-separated counts; None if the header is missing or one is no count."""
     parts = value.split(",") if value else []
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return int(parts[0]), int(parts[1])
+    counts = [parse_count(part.strip(), MAX_COUNT) for part in parts]
+    known = [count for count in counts if count is not None]
+    return known if counts and len(known) == len(counts) else None
 
 
 def parse_prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -110,3 +110,12 @@
         assert answer.json()["error"]["code"] == "invalid_body"
     answer = http_call(port, "POST", "/services/cutdesk/x", {}, Briarpond_Deadline_Ms="soon")
     assert (answer.status, answer.outcome) == (400, "not-run")
+
+
+# Guards against a number of thousands of digits, which ended the process.
+def test_deadline_of_thousands_of_digits_counts_as_the_longest_one(deployment):
+    port = deployment.nodes["hobart-a-n1"].callers_port
+    body = {"model": 3}
+    for path in ("/v1/chat/completions", "/services/cutdesk/x"):
+        answer = http_call(port, "POST", path, body, Briarpond_Deadline_Ms="9" * 5000)
+        assert answer.status in (200, 400) and answer.outcome is not None
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -218,3 +218,22 @@
     sent = gateway.client.sent[0]
     sent.answer_head(status, NOT_EXECUTED, ("at-server", "i-lost"))
     assert gateway.reported_stalled == [sent.header("x-briarpond-expect-instance")]
+
+
+# Guards against a number in a caller's header that int() or the clock can't take: the request
+# was closed without an answer.
+@pytest.mark.parametrize("number", ["\u00b2", "9" * 400, "9" * 5000])
+@pytest.mark.parametrize(
+    "name", ["x_briarpond_deadline_ms", "x_briarpond_length_hint", "x_briarpond_token_usage"]
+)
+def test_odd_number_in_a_header_does_not_spoil_the_request(tmp_path, name, number):
+    gateway = Gateway(tmp_path)
+    value = f"{number},{number}" if name.endswith("usage") else number
+    model = {"x_briarpond_model": "big", "x_briarpond_token_usage": "979,154"}
+    headers = model | {name: value}
+    if name.endswith("deadline_ms"):
+        headers["deadline_ms"] = headers.pop(name)
+    gateway.send_request("/plan/x", **headers)
+    (sent,) = gateway.client.sent
+    assert sent.header("x-briarpond-deadline-ms").isdigit()
+    assert gateway.state.load_tracker.own_in_flight(sent.header("x-briarpond-expect-instance")) == 1
