An event with an unusable id is read again elsewhere

Cause: the id of an event was used as Last-Event-Id, whatever its bytes.

Change: in a resumable stream, an id that is not 1 to 128 visible ASCII bytes marks the event as damaged. The send ends there, the server is avoided, and the stream goes on after the last good event. Streams that may not be resumed are passed on as before.

--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -2,7 +2,7 @@
 
 from ._admission import AdmissionAction, AdmissionDecision, decide_admission
 from ._budget import SharedRetryBudget
-from ._events import ResumableEventSplitter, has_fields
+from ._events import DamagedEventError, ResumableEventSplitter, has_fields
 from ._load import InFlightLoad, LoadTracker
 from ._pace import EventGapTracker
 from ._recovery import RecoveryAction, SendFailure, SendProgress, decide_recovery
@@ -12,6 +12,7 @@
 __all__ = [
     "AdmissionAction",
     "AdmissionDecision",
+    "DamagedEventError",
     "EventGapTracker",
     "GroupPreferences",
     "InFlightLoad",
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -5,6 +5,7 @@
 
 from briarpond.dispatch import (
     AdmissionAction,
+    DamagedEventError,
     RecoveryAction,
     RequestSize,
     ResumableEventSplitter,
@@ -150,7 +151,7 @@
         self._answer_headers: Headers = ()
         self._is_stream = False
         self._headers_forwarded = False
-        self._event_splitter = ResumableEventSplitter()
+        self._event_splitter = ResumableEventSplitter(route.repeatable)
         self._first_byte_at: float | None = None
         self._prompt_tokens = 0
         self._send_state = SendState(request.read_at)
@@ -392,9 +393,13 @@
             if len(self._answer_body) > MAX_ANSWER_BYTES:
                 self._on_send_failed(SendFailure.UNKNOWN, "answer_too_large")
             return
-        complete_events = self._event_splitter.feed(data)
+        try:
+            complete_events = self._event_splitter.feed(data)
+        except DamagedEventError:
+            self._give_up_on_server("event_damaged", now)
+            return
         if self._event_splitter.partial_size > MAX_EVENT_BYTES:
-            self._give_up_endless_event(now)
+            self._give_up_on_server("event_too_large", now)
             return
         if has_fields(complete_events):
             self._record_progress(now)
@@ -402,10 +407,11 @@
         if complete_events:
             self._forward_events(complete_events, now)
 
-    def _give_up_endless_event(self, now: float) -> None:
+    def _give_up_on_server(self, reason: str, now: float) -> None:
+        """End the send, since the server sends bytes that are no stream of events."""
         assert self.server is not None
         self._state.avoid(self.server, now)
-        self._on_send_failed(SendFailure.UNKNOWN, "event_too_large")
+        self._on_send_failed(SendFailure.UNKNOWN, reason)
 
     def _record_progress(self, now: float) -> None:
         """Note that events have arrived; bytes that complete none are no progress."""
--- a/tests/gateway/test_server_faults.py
+++ b/tests/gateway/test_server_faults.py
@@ -170,3 +170,15 @@
     gateway.ingress.handle(request, RecordedReply())
     (sent,) = gateway.client.sent
     assert not sent.call.reuse_idle
+
+
+# Guards against a spoiled id of an event that is sent to the next server as Last-Event-Id, or
+# that can't be sent at all: the stream goes on after the last event whose id can be read.
+@pytest.mark.parametrize("event_id", [b"\xb3", b"1\x00", b"1 2", b"", b"7" * 1000])
+def test_event_with_a_spoiled_id_is_read_again_elsewhere(tmp_path, event_id):
+    gateway = Gateway(tmp_path)
+    reply, sent = begun_stream(gateway)
+    sent.call.on_body(b"id: " + event_id + b"\ndata: y\n\n")
+    assert sent.cancelled and not reply.ended
+    assert gateway.client.sent[1].header("last-event-id") == "0"
+    assert reply.body == b"id: 0\ndata: x\n\n"
