A record that another party wrote is decoded or refused, never raised

An entry with 2^32-1 slots stopped the planner's messages.

Cause: the decoders named msgspec's errors only. Deep nesting raises RecursionError, which left the reader of the list before it had planned its next read. Numbers were taken in any size, though the messages between nodes carry bounded ones; keys, addresses and hosts were not checked either, and one bad value failed its whole page.

Change: `decoding.decode_json` is the one place that decodes JSON of others. An entry of the list has counts within 64 bits, slots up to 100,000 (more count as that many), an address in ASCII without leading zeros, and a key that a header can carry. The records of a page are decoded one by one. A registered node without an IPv4 address is left out. The own interface reads the usage part of an answer in the same way.

--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -7,9 +7,11 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
+from briarpond.decoding import decode_json
 from briarpond.ids import AttemptId, Incarnation, NodeId, RequestKey
 from briarpond.journal import KeyClaim, RecordOutcome
 from briarpond.net import Exchange, Headers, HttpCall
@@ -413,10 +415,7 @@
         """
         if self.machine.spec.kind is not RequestKind.MODEL_WHOLE or head.status != 200:
             return
-        try:
-            usage = msgspec.json.decode(self._whole_body, type=_UsageBody).usage
-        except msgspec.MsgspecError:
-            return
+        usage = parse_usage(self._whole_body)
         if usage is None:
             return
         self.tokens_used = usage.completion_tokens
@@ -478,3 +477,12 @@
     """The part of a model answer that the node reads."""
 
     usage: _Usage | None = None
+
+
+_usage_decoder: Any = msgspec.json.Decoder(_UsageBody)
+
+
+def parse_usage(body: bytes) -> _Usage | None:
+    """Return the usage part of a model answer; None if there is none that can be read."""
+    decoded = decode_json(_usage_decoder, body)
+    return decoded.ok.usage if decoded.is_ok() else None
--- a/briarpond/gateway/_registry.py
+++ b/briarpond/gateway/_registry.py
@@ -1,11 +1,13 @@
 """How a node first finds others: through its settings, otherwise through the store."""
 
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import msgspec
 
+from briarpond.decoding import decode_json
 from briarpond.logs import log_event, log_warning
-from briarpond.net import Clock, LossReason
+from briarpond.net import Clock, LossReason, is_ipv4
 from briarpond.platform import (
     NODES_TOPIC,
     GatewaySettings,
@@ -41,6 +43,9 @@
     host: str
 
 
+_decoder: Any = msgspec.json.Decoder(NodeRecord)
+
+
 class NodeRegistry:
     """Finds other nodes, and lets itself be found by them.
 
@@ -142,7 +147,7 @@
         if page is None or page.is_error():
             self._retry_later()
             return
-        hosts = [host for entry in page.ok.entries if (host := _read_host(entry)) is not None]
+        hosts = [host for entry in page.ok.entries if (host := read_host(entry)) is not None]
         self._add_hosts(hosts)
         if page.ok.next_after is not None and not self._left:
             self._read(page.ok.next_after)
@@ -162,11 +167,13 @@
         self._clock.after(RETRY_DELAY_S, retry)
 
 
-def _read_host(entry: KeyedRecord) -> str | None:
+def read_host(entry: KeyedRecord) -> str | None:
+    """Return the address of a registered node; None if the record has none that can be used."""
     if entry.value is None:
         return None
-    try:
-        return msgspec.json.decode(entry.value, type=NodeRecord).host
-    except msgspec.MsgspecError as exc:
-        log_warning("node_unreadable", key=entry.key, error=str(exc))
-        return None
+    decoded = decode_json(_decoder, entry.value)
+    host = decoded.ok.host if decoded.is_ok() else ""
+    if is_ipv4(host):
+        return host
+    log_warning("node_unreadable", key=entry.key)
+    return None
--- a/briarpond/net/__init__.py
+++ b/briarpond/net/__init__.py
@@ -4,7 +4,7 @@
 so none of them may block.
 """
 
-from ._address import Address
+from ._address import Address, is_ipv4
 from ._clock import Clock, Timer
 from ._guard import run_guarded
 from ._headers import Headers, parse_count
@@ -39,6 +39,7 @@
     "UncaughtExceptionHandler",
     "TcpListener",
     "Timer",
+    "is_ipv4",
     "media_type",
     "parse_count",
     "run_guarded",
--- a/briarpond/platform/_configuration.py
+++ b/briarpond/platform/_configuration.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Ok, Result
 
+from briarpond.decoding import decode_json
 from briarpond.ids import AccountId, ServiceName
 from briarpond.routes import (
     CallerLimits,
@@ -162,10 +163,10 @@
         The configuration, or the decoder's message: which field is missing or has
         a wrong type.
     """
-    try:
-        document = _decoder.decode(body)
-    except msgspec.MsgspecError as exc:
-        return Error(str(exc))
+    decoded = decode_json(_decoder, body)
+    if decoded.is_error():
+        return decoded
+    document: _Document = decoded.ok
     limits = document.limits
     return Ok(
         GatewayConfiguration(
--- a/briarpond/platform/_instances.py
+++ b/briarpond/platform/_instances.py
@@ -3,16 +3,23 @@
 `LoadedModel` and `GroupReport` also occur in the answers to a status request.
 """
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from expression import Error, Ok, Result
 
+from briarpond.decoding import decode_json, is_visible_ascii
 from briarpond.fleet import Instance, InstanceState, Membership, MemberState
 from briarpond.ids import DataCentre, FabricDomain, GroupId, InstanceId, ServiceName
 from briarpond.net import Address
 from briarpond.routes import ModelName
 
+# More slots than any server has; one that states no limit counts as having these.
+MAX_SLOTS = 100_000
+
+# A number that the messages between nodes can carry.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 _STATES = {state.value: state for state in InstanceState}
 _MEMBER_STATES = {state.value: state for state in MemberState}
 
@@ -39,8 +46,8 @@
     """
 
     name: str
-    epoch: int
-    rank: int
+    epoch: _Count
+    rank: _Count
     state: str
 
 
@@ -50,9 +57,9 @@
     # Data centre.
     zone: str
     state: str
-    slots: int = 1
+    slots: _Count = 1
     # Start of the process, in Unix milliseconds.
-    born: int = 0
+    born: _Count = 0
     # Fabric domain; the members of a group are in the same one.
     domain: str | int | None = None
     # Models whose weights are stored on the host.
@@ -78,14 +85,19 @@
     Returns
     -------
     Result
-        The instance, or the reason why the record cannot be decoded: a field is missing
-        or has a wrong type, or the address or state is not valid.
+        The instance, or the reason why the record names none that can be used: a field is
+        missing, has a wrong type or is out of range, or key, address or state is not valid.
     """
+    if not is_visible_ascii(key):
+        return Error("the key is no id that a request can name")
+    decoded = decode_json(_decoder, body)
+    if decoded.is_error():
+        return decoded
+    entry: _InstanceEntry = decoded.ok
     try:
-        entry = _decoder.decode(body)
         address = Address.parse(entry.addr)
-    except (msgspec.MsgspecError, ValueError) as exc:
-        return Error(str(exc))
+    except ValueError as exc:
+        return Error(f"addr: {exc}")
     state = _STATES.get(entry.state)
     if state is None:
         return Error(f"unknown state {entry.state}")
@@ -96,7 +108,7 @@
             address=address,
             data_centre=DataCentre(entry.zone),
             state=state,
-            slots=entry.slots,
+            slots=min(entry.slots, MAX_SLOTS),
             started_at_ms=entry.born,
             domain=FabricDomain("" if entry.domain is None else str(entry.domain)),
             staged_models=tuple(ModelName(name) for name in entry.staged or ()),
--- a/briarpond/platform/_orders.py
+++ b/briarpond/platform/_orders.py
@@ -9,8 +9,9 @@
 from typing import Any
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Ok, Result
 
+from briarpond.decoding import decode_json
 from briarpond.fleet import Membership
 from briarpond.ids import GroupId, InstanceId
 from briarpond.routes import ModelName
@@ -68,10 +69,10 @@
 
 def decode_report(body: bytes) -> Result[InstanceReport, str]:
     """Decode a status report; the error names the field that cannot be read."""
-    try:
-        report = _decoder.decode(body)
-    except msgspec.MsgspecError as exc:
-        return Error(str(exc))
+    decoded = decode_json(_decoder, body)
+    if decoded.is_error():
+        return decoded
+    report: _Report = decoded.ok
     return Ok(
         InstanceReport(
             report.born,
--- a/briarpond/platform/_store.py
+++ b/briarpond/platform/_store.py
@@ -15,6 +15,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from briarpond.decoding import decode_json
+
 # Topics: the operator's configuration, the instance list and the registered nodes.
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
@@ -194,7 +196,8 @@
 
 
 class _NewestAnswer(msgspec.Struct):
-    entries: list[_NewestRecord]
+    # Records are decoded one by one, so that one that can't be read leaves the others.
+    entries: list[msgspec.Raw]
     end: int
     hasMore: bool = False  # noqa: N815 - field name of the platform
 
@@ -207,19 +210,21 @@
 
 
 _newest_decoder: Any = msgspec.json.Decoder(_NewestAnswer)
+_record_decoder: Any = msgspec.json.Decoder(_NewestRecord)
 _lease_decoder: Any = msgspec.json.Decoder(_LeaseGroupAnswer)
 
 
 def decode_newest(body: bytes) -> Result[NewestPage, str]:
-    """Decode a page of the newest record of each key."""
-    try:
-        page = _newest_decoder.decode(body)
-        entries = tuple(
-            KeyedRecord(row.key, _decode_value(row.value), row.offset) for row in page.entries
-        )
-    except (msgspec.MsgspecError, ValueError) as exc:
-        return Error(str(exc))
-    next_after = page.entries[-1].key if page.hasMore and page.entries else None
+    """Decode a page of the newest record of each key; records that can't be read are left out."""
+    decoded = decode_json(_newest_decoder, body)
+    if decoded.is_error():
+        return decoded
+    page: _NewestAnswer = decoded.ok
+    records = [decode_json(_record_decoder, row) for row in page.entries]
+    entries = tuple(_to_keyed_record(record.ok) for record in records if record.is_ok())
+    if page.hasMore and page.entries and not entries:
+        return Error("no record of the page can be read, so the next page is not known")
+    next_after = entries[-1].key if page.hasMore and entries else None
     return Ok(NewestPage(entries, next_after, page.end))
 
 
@@ -258,16 +263,21 @@
 
 def decode_lease(body: bytes) -> Result[LeaseAnswer, str]:
     """Decode the answer to joining the planner's lease group or to renewing."""
-    try:
-        answer = _lease_decoder.decode(body)
-    except msgspec.MsgspecError as exc:
-        return Error(str(exc))
+    decoded = decode_json(_lease_decoder, body)
+    if decoded.is_error():
+        return decoded
+    answer: _LeaseGroupAnswer = decoded.ok
     holds = any(part == 0 for _, part, _ in answer.parts)
     return Ok(LeaseAnswer(answer.generation, holds, len(answer.parts)))
 
 
-def _decode_value(text: str | None) -> bytes | None:
-    return None if text is None else base64.b64decode(text)
+def _to_keyed_record(record: _NewestRecord) -> KeyedRecord:
+    """Convert a record; a value that is no base64 is empty, which no decoder accepts."""
+    try:
+        value = None if record.value is None else base64.b64decode(record.value)
+    except ValueError:
+        value = b""
+    return KeyedRecord(record.key, value, record.offset)
 
 
 def _decode_keyed_record(record: bytes, offset: int) -> KeyedRecord:
--- a/briarpond/ports/_ports.py
+++ b/briarpond/ports/_ports.py
@@ -9,6 +9,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from briarpond.decoding import DECODE_ERRORS
 from briarpond.journal import LogEntry, Page
 
 from ._models import AppendAnswer, InstanceList, LoadOrder, OrderAnswer, StatusReport
@@ -111,5 +112,5 @@
 def _decode(body: bytes, answer_type: type[_T]) -> Result[_T, DecodeProblem]:
     try:
         return Ok(msgspec.json.decode(body, type=answer_type))
-    except (msgspec.MsgspecError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         return Error(DecodeProblem(str(exc)))
