The reader of a topic goes on after any surprise

Cause: `TopicFeed` planned its next read as the last step of handling an answer. An exception there, or in what its user did with the records, ended the reading without a word but the log's. One bad record also kept the others of its batch from being applied.

Change: every answer, loss and error leads to one place that sends the next read. If the user of the records raised, the whole list is read again, and the age of what is known does not advance. `InstanceList`, moved out of the node, applies records one by one; the planner's step and the held requests cannot keep the reader from going on.

--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -22,12 +22,12 @@
     HttpServer,
     HttpServerLimits,
     TcpListener,
+    run_guarded,
 )
 from briarpond.platform import (
     INSTANCES_TOPIC,
     GatewaySettings,
     KeyedRecord,
-    decode_instance,
     encode_addresses,
     parse_address_query,
 )
@@ -36,6 +36,7 @@
 
 from ._config_keeper import ConfigKeeper
 from ._ingress import Ingress
+from ._instance_list import InstanceList
 from ._lease import MAX_CANDIDATES, PlannerLease
 from ._peers import PeerLink
 from ._planner_link import PlannerRunner
@@ -124,6 +125,7 @@
             self._on_config_applied,
             self._on_store_regained,
         )
+        self._instances = InstanceList(self.state.fleet)
         self._instances_feed = TopicFeed(
             self._store,
             clock,
@@ -274,49 +276,15 @@
     # Instances
 
     def _on_instances_snapshot(self, entries: Sequence[KeyedRecord]) -> None:
-        now = self._clock.now()
-        instances = []
-        for entry in entries:
-            if entry.value is None:
-                continue
-            decoded = decode_instance(entry.key, entry.value)
-            if decoded.is_ok():
-                instances.append(decoded.ok)
-            else:
-                log_warning("instance_unreadable", key=entry.key, error=decoded.error)
-        self.state.fleet.replace_all(instances, now)
-        log_event("instances_read", count=len(instances))
-        self.ingress.retry_held()
+        self._instances.replace_all(entries, self._clock.now())
+        run_guarded("held_requests", self.ingress.retry_held)
 
     def _on_instances(self, entries: Sequence[KeyedRecord]) -> None:
-        now = self._clock.now()
-        for entry in entries:
-            self._apply_instance(entry, now)
+        self._instances.apply_changes(entries, self._clock.now())
+        # Neither may keep the reader of the list from what it does next.
         if self._planner.planning:
-            self._planner.step()
-        self.ingress.retry_held()
-
-    def _apply_instance(self, entry: KeyedRecord, now: float) -> None:
-        fleet = self.state.fleet
-        instance = InstanceId(entry.key)
-        if entry.value is None:
-            fleet.remove(instance, now)
-            log_event("instance_removed", instance=instance, offset=entry.offset)
-            return
-        decoded = decode_instance(entry.key, entry.value)
-        if decoded.is_error():
-            log_warning("instance_unreadable", key=entry.key, error=decoded.error)
-            return
-        previous = fleet.get(instance)
-        fleet.put(decoded.ok, now)
-        if previous is None or previous.state is not decoded.ok.state:
-            log_event(
-                "instance",
-                instance=instance,
-                state=decoded.ok.state.value,
-                domain=decoded.ok.domain,
-                offset=entry.offset,
-            )
+            run_guarded("planner", self._planner.step)
+        run_guarded("held_requests", self.ingress.retry_held)
 
     def _needs_instance_list(self) -> bool:
         """Whether this node follows the instance list itself instead of the planner's targets."""
--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable, Sequence
 from enum import Enum
+from functools import partial
 
 from briarpond.logs import log_event, log_warning
-from briarpond.net import Address, Clock, HttpClient, LossReason
+from briarpond.net import Address, Clock, HttpClient, LossReason, run_guarded
 from briarpond.platform import (
     KeyedRecord,
     StoreRequest,
@@ -145,6 +146,7 @@
         self._requested_at = 0.0
         self._failures = 0
         self._failed_at = float("-inf")
+        self._next_delay_s = 0.0
 
     def start(self) -> None:
         """Start to read the topic."""
@@ -179,23 +181,42 @@
         self.confirm(known_until)
 
     def _send_read(self) -> None:
+        """Send the next read; every answer, loss and error leads back to here."""
+        if not run_guarded("feed", self._try_read):
+            self._clock.after(MAX_RETRY_DELAY_S, self._send_read)
+
+    def _try_read(self) -> None:
         if self._snapshot_end is None and not self._is_wanted():
             self._clock.after(IDLE_CHECK_INTERVAL_S, self._send_read)
             return
         self._requested_at = self._clock.now()
         if self._state is _FeedState.SNAPSHOT:
             request = newest_records_request(self._topic, self._next_page_after)
-            self._store.call(request, CALL_TIMEOUT_S, self._on_page, self._on_lost)
+            timeout_s, handle = CALL_TIMEOUT_S, self._on_page
+        else:
+            self._requested_wait_s = self._wait_s() if self._failures == 0 else 0.0
+            request = read_records_request(self._topic, self._offset, self._requested_wait_s)
+            timeout_s, handle = self._requested_wait_s + READ_MARGIN_S, self._on_records
+        self._store.call(request, timeout_s, partial(self._on_answer, handle), self._on_lost)
+
+    def _on_answer(self, handle: Callable[[int, bytes], None], status: int, body: bytes) -> None:
+        """Handle an answer, and plan the next read whatever comes of it."""
+        self._next_delay_s = 0.0
+        known_until = self.known_until
+        if not run_guarded("feed", handle, status, body):
+            # Records may be missing from what was applied, so the whole list is read again.
+            self.known_until = known_until
+            self._begin_snapshot()
+            self._note_failure("unexpected error")
+        if self._next_delay_s:
+            self._clock.after(self._next_delay_s, self._send_read)
         else:
-            wait_s = self._wait_s() if self._failures == 0 else 0.0
-            self._requested_wait_s = wait_s
-            request = read_records_request(self._topic, self._offset, wait_s)
-            self._store.call(request, wait_s + READ_MARGIN_S, self._on_records, self._on_lost)
+            self._send_read()
 
     def _on_page(self, status: int, body: bytes) -> None:
         page = decode_newest(body) if status == 200 else None
         if page is None or page.is_error():
-            self._on_failure(f"status {status}" if page is None else page.error)
+            self._note_failure(f"status {status}" if page is None else page.error)
             return
         if self._snapshot_end is None:
             # The pages are not a consistent snapshot. Changes made while they are read are
@@ -205,13 +226,18 @@
         self._next_page_after = page.ok.next_after
         self._on_success()
         if self._next_page_after is None:
-            self._end_snapshot()
-        self._send_read()
+            self._end_snapshot(self._snapshot_end)
+
+    def _begin_snapshot(self) -> None:
+        self._state = _FeedState.SNAPSHOT
+        self._snapshot_entries = []
+        self._snapshot_end = None
+        self._next_page_after = None
 
-    def _end_snapshot(self) -> None:
-        assert self._snapshot_end is not None
-        entries, self._snapshot_entries = self._snapshot_entries, []
-        self._offset, self._snapshot_end = self._snapshot_end, None
+    def _end_snapshot(self, end_offset: int) -> None:
+        entries = self._snapshot_entries
+        self._begin_snapshot()
+        self._offset = end_offset
         self._state = _FeedState.TAIL
         self.known_until = self._requested_at
         self._on_snapshot(entries)
@@ -219,12 +245,11 @@
     def _on_records(self, status: int, body: bytes) -> None:
         if status == 410:
             log_warning("feed_gap", topic=self._topic, offset=self._offset)
-            self._state = _FeedState.SNAPSHOT
-            self._clock.after(0.0, self._send_read)
+            self._begin_snapshot()
             return
         records = decode_records(body, self._offset) if status == 200 else None
         if records is None or records.is_error():
-            self._on_failure(f"status {status}" if records is None else records.error)
+            self._note_failure(f"status {status}" if records is None else records.error)
             return
         self._apply_records(records.ok.entries, records.ok.next_offset)
 
@@ -241,8 +266,8 @@
         self._on_success()
         if entries:
             self._on_entries(entries)
+            self._next_delay_s = self._pause_s()
         self.confirm(confirmed_until)
-        self._clock.after(self._pause_s() if entries else 0.0, self._send_read)
 
     def _on_success(self) -> None:
         if self._failures:
@@ -251,12 +276,13 @@
             self._on_regained(self._clock.now() - self._failed_at)
 
     def _on_lost(self, reason: LossReason) -> None:
-        self._on_failure(reason.value)
+        self._note_failure(reason.value)
+        self._clock.after(self._next_delay_s, self._send_read)
 
-    def _on_failure(self, cause: str) -> None:
+    def _note_failure(self, cause: str) -> None:
+        """Count a failed read; the next one waits longer after each failure in a row."""
         self._failures += 1
         self._failed_at = self._clock.now()
         if self._failures == 1:
             log_warning("store_lost", topic=self._topic, reason=cause)
-        delay = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._failures)
-        self._clock.after(delay, self._send_read)
+        self._next_delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._failures)
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -84,3 +84,77 @@
     """
     for bound_s in (DRAIN_BOUND_S, 3.0, 4.0):
         assert plan_lifetime_s(bound_s) + IDLE_CHECK_INTERVAL_S + STORE_READ_S < bound_s
+
+
+def records_answer(*records, first=0):
+    """Return an answer to a read with records, each given as key and value."""
+    body = struct.pack(">QQ", first + len(records), first)
+    for key, value in records:
+        record = bytes([len(key)]) + key + value
+        body += struct.pack(">I", len(record)) + record
+    return body
+
+
+class FailingTaker:
+    """Takes records; raises once for those that contain a key."""
+
+    def __init__(self, key):
+        self.key = key
+        self.calls = []
+
+    def __call__(self, entries):
+        self.calls.append([entry.key for entry in entries])
+        if self.key in self.calls[-1]:
+            self.key = None
+            raise RecursionError("deep")
+
+
+# Guards against a reader that never reads again after one record that its user can't take: no
+# node followed the list of servers any more. What was applied may have a gap, so it is read whole.
+def test_feed_goes_on_with_a_whole_read_after_its_user_raised():
+    clock, store, take = VirtualClock(), ScriptedStore(), FailingTaker("bad")
+    snapshots = []
+    feed = TopicFeed(store, clock, "keyed.servers", snapshots.append, take)
+    feed.start()
+    clock.advance(0.1)
+    known_until = feed.known_until
+    store.on_answer(200, records_answer((b"bad", b"x")))
+    assert feed.known_until == known_until
+    clock.advance(1.0)
+    assert len(snapshots) == 2
+    store.on_answer(200, records_answer((b"good", b"x"), first=0))
+    assert take.calls == [["bad"], ["good"]]
+
+
+@pytest.mark.parametrize("hook", ["is_wanted", "wait_s", "pause_s"])
+def test_feed_goes_on_after_an_error_in_what_it_asks(hook):
+    clock, store = VirtualClock(), ScriptedStore()
+    failing = [True]
+
+    def ask():
+        if failing.pop() if failing else False:
+            raise KeyError("unexpected")
+        return hook == "is_wanted"
+
+    taken = []
+    feed = TopicFeed(store, clock, "keyed.op", taken.append, taken.append, **{hook: ask})
+    feed.start()
+    clock.advance(2.0)
+    if hook == "pause_s":
+        store.on_answer(200, records_answer((b"a", b"x")))
+        clock.advance(2.0)
+    store.on_answer(200, records_answer((b"b", b"x")))
+    assert [entry.key for entry in taken[-1]] == ["b"]
+
+
+# Guards against an answer that is lost, refused or unreadable and ends the reading.
+@pytest.mark.parametrize("body", [b"", b"\xff" * 40, struct.pack(">QQI", 1, 0, 2**32 - 1)])
+def test_feed_reads_again_after_an_answer_that_cannot_be_read(body):
+    clock, store = VirtualClock(), ScriptedStore()
+    taken = []
+    TopicFeed(store, clock, "keyed.op", taken.append, taken.append).start()
+    for _ in range(3):
+        on_answer, store.on_answer = store.on_answer, None
+        on_answer(200, body)
+        clock.advance(1.5)
+        assert store.on_answer is not None
