Pulls between nodes go on after any error

Cause: a value out of the range of its field raised while a message was encoded, and `_pull_periodically` planned its next call as its last step.

Change: the next pull is planned whatever the present one does; a message that cannot be encoded is logged and left out; counts are sent as at most 2^31-1.

--- a/briarpond/directory/__init__.py
+++ b/briarpond/directory/__init__.py
@@ -1,6 +1,7 @@
 """Exchange of state between nodes, and the directory of nodes for callers."""
 
 from ._codec import (
+    UNENCODABLE,
     Datagram,
     decode_config_record,
     decode_datagram,
@@ -35,6 +36,7 @@
     "LOAD_LIFETIME_S",
     "PAUSE_S",
     "RELAY_INTERVAL_S",
+    "UNENCODABLE",
     "Answer",
     "ConfigRecord",
     "ConfigStatus",
--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -44,11 +44,22 @@
     AttributeError,
     OverflowError,
     MemoryError,
+    RecursionError,
 )
+# Exceptions that a value out of the range of its field raises when it is encoded.
+UNENCODABLE = (TException, TypeError, ValueError, AttributeError, OverflowError)
+# Largest count that a field takes; a larger one is sent as this.
+MAX_COUNT = 2**31 - 1
 
 
 def encode_datagram(message: Datagram) -> bytes:
-    """Return the datagram of a message."""
+    """Return the datagram of a message.
+
+    Raises
+    ------
+    Any of UNENCODABLE
+        If a value is out of the range of its field.
+    """
     tag, wire = _to_wire(message)
     buffer = TMemoryBuffer()
     wire.write(TCompactProtocolAccelerated(buffer))
@@ -232,7 +243,11 @@
 def _load_to_wire(load: Load) -> ttypes.Load:
     return ttypes.Load(
         [
-            ttypes.ServerRow(each.instance, each.in_flight, each.unread_tokens)
+            ttypes.ServerRow(
+                each.instance,
+                min(each.in_flight, MAX_COUNT),
+                min(each.unread_tokens, MAX_COUNT),
+            )
             for each in load.servers
         ],
         [ttypes.DemandRow(each.model, each.groups) for each in load.demand],
@@ -292,7 +307,7 @@
                 target.address.host,
                 target.address.port,
                 target.data_centre,
-                target.slots,
+                min(target.slots, MAX_COUNT),
             )
             for target in delta.servers
         ],
--- a/briarpond/gateway/_peers.py
+++ b/briarpond/gateway/_peers.py
@@ -9,7 +9,10 @@
 from briarpond.directory import (
     HOUSEKEEPING_INTERVAL_S,
     PAUSE_S,
+    RELAY_INTERVAL_S,
+    UNENCODABLE,
     Answer,
+    Datagram,
     Member,
     Notice,
     Outgoing,
@@ -75,6 +78,7 @@
         self._port = address.port
         self._describe = describe
         self._housekept_at = clock.now()
+        self._pull_delay_s = RELAY_INTERVAL_S
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.bind(address)
@@ -140,8 +144,17 @@
         data, previous = b"", None
         for each in outgoing:
             if each.message is not previous:
-                data, previous = encode_datagram(each.message), each.message
-            self._send(data, each.host)
+                data, previous = self._encode(each.message), each.message
+            if data:
+                self._send(data, each.host)
+
+    def _encode(self, message: Datagram) -> bytes:
+        """Return the datagram of a message; empty if it cannot be encoded."""
+        try:
+            return encode_datagram(message)
+        except UNENCODABLE as exc:
+            log_warning("datagram_not_encoded", kind=type(message).__name__, error=repr(exc)[:200])
+            return b""
 
     def _send(self, data: bytes, host: str) -> None:
         try:
@@ -151,11 +164,15 @@
             log_warning("datagram_not_sent", host=host, error=str(exc))
 
     def _pull_periodically(self) -> None:
+        self._pull_delay_s = RELAY_INTERVAL_S
+        run_guarded("pull", self._pull)
+        self._clock.after(self._pull_delay_s * random.uniform(0.9, 1.1), self._pull_periodically)
+
+    def _pull(self) -> None:
         self._refresh_own()
-        outgoing, delay = self.sync.next_pull(self._clock.now())
+        outgoing, self._pull_delay_s = self.sync.next_pull(self._clock.now())
         if outgoing is not None:
             self._send_all([outgoing])
-        self._clock.after(delay * random.uniform(0.9, 1.1), self._pull_periodically)
 
     def _housekeep(self) -> None:
         if self._was_paused():
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,100 @@
+"""The link to the other nodes: what cannot be sent or taken costs one datagram and no loop."""
+
+import socket
+
+import pytest
+
+from briarpond.directory import Load, Member, ServerInFlight, SyncCallbacks
+from briarpond.gateway._peers import PeerLink
+from briarpond.net import Address
+
+from .world import VirtualClock
+
+
+class NullPoller:
+    """Poller that never reports anything."""
+
+    def addReader(self, *_args):  # noqa: N802 - name of circuits
+        pass
+
+
+class Link:
+    """A `PeerLink` with one other node, whose datagrams the test reads."""
+
+    def __init__(self, own_load):
+        self.clock = VirtualClock()
+        self.other = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.other.bind(("127.0.0.2", 0))
+        self.other.settimeout(0.5)
+        port = self.other.getsockname()[1]
+        own = Member("n1", 1, 1, Address("127.0.0.1", 80), "a", True, False)
+        callbacks = SyncCallbacks(
+            own_load=own_load,
+            plan_status=lambda now: None,
+            config_status=lambda now: None,
+            on_plan=lambda *_: None,
+            on_config=lambda *_: None,
+            on_config_version=lambda *_: None,
+            on_load=lambda *_: None,
+            on_stalled=lambda *_: None,
+            on_members=lambda *_: None,
+            evidence=lambda now: None,
+            on_evidence=lambda *_: None,
+            on_pause=lambda *_: None,
+        )
+        address = Address("127.0.0.1", port)
+        self.link = PeerLink(self.clock, NullPoller(), address, own, callbacks, lambda: {}, False)
+        self.link.sync.add_contacts(["127.0.0.2"])
+
+    def close(self):
+        self.other.close()
+        self.link._sock.close()
+
+    def received(self):
+        """Return how many datagrams have arrived."""
+        count = 0
+        self.other.setblocking(False)
+        while True:
+            try:
+                self.other.recv(65536)
+            except BlockingIOError:
+                return count
+            count += 1
+
+
+@pytest.fixture
+def make_link():
+    links = []
+
+    def make(own_load):
+        links.append(Link(own_load))
+        return links[-1]
+
+    yield make
+    for link in links:
+        link.close()
+
+
+# Guards against a count of a caller that the messages can't carry: the node sent no pull any
+# more, and fell back on the store.
+def test_load_beyond_what_messages_carry_is_told_as_the_most(make_link):
+    load = Load((ServerInFlight("i", 3, 2**40),), ())
+    link = make_link(lambda now: load)
+    link.link.start()
+    link.clock.advance(15.0)
+    assert link.received() > 1
+
+
+# Guards against pulls that end for good with one unexpected error.
+def test_pulls_go_on_after_an_unexpected_error(make_link):
+    failures = [KeyError("unexpected"), UnicodeEncodeError("utf-8", "x", 0, 1, "odd")]
+
+    def own_load(now):
+        if failures:
+            raise failures.pop()
+        return Load((), ())
+
+    link = make_link(own_load)
+    link.link.start()
+    link.clock.advance(15.0)
+    assert not failures and link.received() > 1
