A stopping node takes only what it can answer before it ends

Cause: for 3.2 s after the signal every request was accepted, and all were ended 0.5 s before the end of the grace, whatever time their routes and deadlines allow.

Change: from the signal on, a request is accepted only if its deadline, its route's timeout, or the longest time that a model request of its tokens takes, ends before the node does. Otherwise it is refused at once as not run, with a short Retry-After; if no other node is ready it is taken.

--- a/briarpond/directory/_members.py
+++ b/briarpond/directory/_members.py
@@ -327,6 +327,13 @@
         members.sort(key=lambda member: member.data_centre != preferred_data_centre)
         return [member.caller_address for member in members]
 
+    def others_are_ready(self, now: float) -> bool:
+        """Whether another node takes callers' requests and is not leaving."""
+        return any(
+            member.ready and not member.leaving and member.node != self.own.node
+            for member in self.live(now)
+        )
+
     def _is_live(self, entry: _Entry, now: float) -> bool:
         if entry.member.gone:
             return False
--- a/briarpond/gateway/_ingress.py
+++ b/briarpond/gateway/_ingress.py
@@ -1,5 +1,7 @@
 """Entry point of callers' requests: routing, key check, and the requests in flight."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from briarpond.ids import InstanceId, PromptPart
@@ -10,14 +12,15 @@
 
 from ._run import ForwardedRequest
 from ._state import NodeState
+from ._stopping import Stop, can_finish
 
 # Requests that need a key are refused while the configuration is older than this share of
 # `bounds.revoke_within_s`, the time within which a withdrawn key must stop working.
 KEYS_MAX_AGE_SHARE = 0.88
-# Retry-After of refusals while this node has no configuration or is stopping.
+# Retry-After of refusals while no node may be able to serve the request.
 NOT_READY_RETRY_S = 0.3
-# Retry-After where only this node's configuration is too old: another node can serve the
-# request at once, so the caller need not wait.
+# Retry-After where only this node can't serve the request, because its configuration is too
+# old or it is stopping: another node can at once, so the caller need not wait.
 OTHER_NODE_RETRY_S = 0.02
 # How often held requests are tried again.
 HELD_CHECK_INTERVAL_S = 0.01
@@ -64,10 +67,16 @@
     ----------
     refusing : bool
         Whether new requests are refused because the node is about to stop.
+    stop : Stop or None
+        The stop of the node, once it has begun: requests that may outlast it are refused.
+    others_are_ready : callable
+        Returns whether another node takes callers' requests.
     """
 
     def __init__(self, state: NodeState, config_age, on_stalled) -> None:
         self.refusing = False
+        self.stop: Stop | None = None
+        self.others_are_ready: Callable[[], bool] = lambda: True
         self._state = state
         self._config_age = config_age
         self._report_stalled = on_stalled
@@ -98,8 +107,7 @@
         state = self._state
         route_table = state.route_table
         if route_table is None or self.refusing:
-            reason = "no_configuration" if route_table is None else "stopping"
-            self._refuse(request, reply, _Refusal(503, reason, NOT_READY_RETRY_S))
+            self._refuse(request, reply, self._not_ready_refusal())
             return
         path = request.target.split("?", 1)[0]
         route = route_table.find(request.header("host") or "", path)
@@ -124,6 +132,9 @@
             self._remove,
             self._on_stalled,
         )
+        if not self._can_finish(forwarded):
+            forwarded.refuse("stopping", OTHER_NODE_RETRY_S)
+            return
         self._requests[forwarded] = None
         forwarded.start()
         self._schedule_held_check()
@@ -150,6 +161,25 @@
         # Not at once: the request whose server has just ended is still being handled.
         self._state.clock.after(0.0, end_all)
 
+    def _not_ready_refusal(self) -> _Refusal:
+        if self._state.route_table is None:
+            return _Refusal(503, "no_configuration", NOT_READY_RETRY_S)
+        others_are_ready = self.others_are_ready()
+        return _Refusal(
+            503, "stopping", OTHER_NODE_RETRY_S if others_are_ready else NOT_READY_RETRY_S
+        )
+
+    def _can_finish(self, forwarded: ForwardedRequest) -> bool:
+        """Whether a request will have its answer before this node ends.
+
+        One that may not is better refused at once, while it has certainly not run, unless no
+        other node is there to take it.
+        """
+        if self.stop is None or not self.others_are_ready():
+            return True
+        now = self._state.clock.now()
+        return can_finish(self.stop, forwarded.expires_at, forwarded.longest_duration_s, now)
+
     def _remove(self, forwarded: ForwardedRequest) -> None:
         self._requests.pop(forwarded, None)
 
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -44,6 +44,7 @@
 from ._registry import NodeRegistry
 from ._start_wait import start_wait_s
 from ._state import NodeState
+from ._stopping import Stop
 from ._store_link import READ_MARGIN_S, READ_WAIT_S, StoreClient, TopicFeed
 
 # Lifetime of a directory answer; the settings may bound it further.
@@ -114,7 +115,6 @@
         self._settings = settings
         self._clock = clock
         self._on_stopped = on_stopped
-        self._stop_began_at: float | None = None
         self._started_at = clock.now()
         self._store = StoreClient(settings.store.address, client)
         self._config = ConfigKeeper(
@@ -225,30 +225,36 @@
         self.state.settings = settings
 
     def begin_stop(self) -> None:
-        """Leave the directory at once, keep serving for `KEEP_SERVING_S` seconds, then stop."""
-        if self._stop_began_at is not None:
+        """Leave the directory at once, keep serving for `KEEP_SERVING_S` seconds, then stop.
+
+        Meanwhile only requests are taken that can be answered before the process is killed.
+        """
+        if self.ingress.stop is not None:
             return
         now = self._clock.now()
-        self._stop_began_at = now
+        ends_at = now + self._settings.bounds.stop_timeout_s - KILL_MARGIN_S
+        stop = self.ingress.stop = Stop(now, ends_at)
+        self.ingress.others_are_ready = lambda: self._peers.sync.members.others_are_ready(
+            self._clock.now()
+        )
         self.state.leaving = True
         log_event("stop_begins", in_flight=self.ingress.in_flight)
         self._lease.stop()
         self._registry.leave()
         self._peers.announce()
         self._caller_endpoint.closing = True
-        self._clock.every(STOP_CHECK_INTERVAL_S, self._continue_stop)
+        self._clock.every(STOP_CHECK_INTERVAL_S, lambda: self._continue_stop(stop))
 
     # Stop
 
-    def _continue_stop(self) -> None:
+    def _continue_stop(self, stop: Stop) -> None:
         """Refuse new requests once the time to keep serving is over; stop when all have ended."""
-        assert self._stop_began_at is not None
-        elapsed = self._clock.now() - self._stop_began_at
-        if elapsed < KEEP_SERVING_S:
+        now = self._clock.now()
+        if now - stop.began_at < KEEP_SERVING_S:
             return
         self.ingress.refusing = True
         self._caller_endpoint.close_idle()
-        time_is_up = elapsed > self._settings.bounds.stop_timeout_s - KILL_MARGIN_S
+        time_is_up = now > stop.ends_at
         if time_is_up:
             self.ingress.end_all()
         unanswered = self.ingress.in_flight + self._caller_endpoint.unanswered_count()
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -40,6 +40,7 @@
 
 from ._send_state import SendPhase, SendState
 from ._state import NodeState
+from ._stopping import longest_duration_s
 from ._targets import ServerChoice, best_group, best_server
 
 # Time within which a connection to a server must be established.
@@ -107,6 +108,8 @@
         Whether the request has ended.
     held : bool
         Whether the request waits for a server with room.
+    expires_at : float
+        Time of the deadline, or of the route's timeout if that is earlier.
     model : ModelName
         Model that the request names; empty if none.
     request_size : RequestSize
@@ -160,7 +163,7 @@
         deadline_ms = parse_count(request.header(PlatformHeader.DEADLINE_MS), MAX_DEADLINE_MS)
         allowed_s = DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / 1000
         self._deadline = request.read_at + allowed_s
-        self._expires_at = request.read_at + min(allowed_s, route.timeout_s)
+        self.expires_at = request.read_at + min(allowed_s, route.timeout_s)
         self.model = ModelName(request.header(PlatformHeader.MODEL) or "")
         self.request_size = _parse_request_size(request)
         self.prompt_parts = parse_prompt_parts(request.header(PlatformHeader.PROMPT_PARTS))
@@ -182,9 +185,21 @@
         engine = state.engine(self._service)
         if engine is not None:
             state.count_demand(self.model, engine, self.request_size, now)
-        state.clock.after(self._expires_at - now, self._on_timeout)
+        state.clock.after(self.expires_at - now, self._on_timeout)
         self.try_send()
 
+    def refuse(self, reason: str, retry_after_s: float) -> None:
+        """End a request that was not started as not run."""
+        self._reason = reason
+        self._end_without_answer(retry_after_s)
+
+    @property
+    def longest_duration_s(self) -> float:
+        """Seconds within which a server answers the request; infinite if not known."""
+        token_counts = parse_token_counts(self._request.header(PlatformHeader.TOKEN_USAGE))
+        engine = self._state.engine(self._service)
+        return longest_duration_s(engine, self.model, *(token_counts or (0, 0)))
+
     def try_send(self) -> None:
         """Send the request to the best server, hold it until one has room, or refuse it."""
         self._run_confined(self._try_send)
@@ -208,7 +223,7 @@
             choice is not None and choice.has_room,
             waited_s,
             first_event_goal_s,
-            self._expires_at - now,
+            self.expires_at - now,
             first_event_goal_s,
         )
         self.held = decision.action is AdmissionAction.HOLD
@@ -256,7 +271,7 @@
             self.route,
             SendFailure.UNKNOWN,
             self._progress(),
-            self._expires_at - now,
+            self.expires_at - now,
             self._take_retry_budget(now),
             self._is_suspect(now),
         )
@@ -309,7 +324,7 @@
             self._on_sent,
             # Only an id tells this request's answer from a late one to an earlier request.
             reuse_idle=self.route.repeatable and self._request_id is not None,
-            connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, self._expires_at - now)),
+            connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, self.expires_at - now)),
             echoed_header=(
                 None if self._request_id is None else (PlatformHeader.REQUEST_ID, self._request_id)
             ),
@@ -320,7 +335,7 @@
         headers = [
             pair for pair in self._request.headers if pair[0] not in _DROPPED_REQUEST_HEADERS
         ]
-        remaining_ms = max(1, int((self._expires_at - now) * 1000))
+        remaining_ms = max(1, int((self.expires_at - now) * 1000))
         headers.append((PlatformHeader.DEADLINE_MS, str(remaining_ms)))
         headers.append((PlatformHeader.EXPECT_INSTANCE, server))
         if self._tenant is not None:
@@ -520,7 +535,7 @@
             self.route,
             failure,
             self._progress(),
-            self._expires_at - now,
+            self.expires_at - now,
             has_retry_budget=True,
             is_suspect=self._is_suspect(now),
         )
--- /dev/null
+++ b/briarpond/gateway/_stopping.py
@@ -0,0 +1,60 @@
+"""Which requests a stopping node still takes: those that it can answer before it ends."""
+
+import msgspec
+
+from briarpond.dispatch import RequestSize, slot_occupancy_s
+from briarpond.routes import EngineSpec, ModelName
+
+# Factor on the longest expected time of a model request: groups may be slow, or repaired.
+DURATION_SAFETY = 2.0
+
+
+class Stop(msgspec.Struct, frozen=True):
+    """The stop of this node.
+
+    Attributes
+    ----------
+    began_at : float
+        Time of the signal, in seconds.
+    ends_at : float
+        Time at which the requests in flight are ended.
+    """
+
+    began_at: float
+    ends_at: float
+
+
+def longest_duration_s(
+    engine: EngineSpec | None, model: ModelName, prompt_tokens: int, max_answer_tokens: int
+) -> float:
+    """Return a time within which a server answers a request; infinite if nothing is known.
+
+    Parameters
+    ----------
+    engine : EngineSpec or None
+        Engine of the request's service; None if it has plain servers.
+    model : ModelName
+        Model that the request names.
+    prompt_tokens, max_answer_tokens : int
+        Tokens of the prompt, and the most of the answer; 0 if the request does not say.
+    """
+    spec = None if engine is None else engine.model(model)
+    if engine is None or spec is None or not max_answer_tokens:
+        return float("inf")
+    size = RequestSize(prompt_tokens, max_answer_tokens)
+    return DURATION_SAFETY * slot_occupancy_s(engine, spec, size)
+
+
+def can_finish(stop: Stop, expires_at: float, longest_s: float, now: float) -> bool:
+    """Whether a request will have its answer, or be past its own timeout, when the node ends.
+
+    Parameters
+    ----------
+    expires_at : float
+        Time of the request's deadline, or of its route's timeout if that is earlier.
+    longest_s : float
+        Seconds that the request takes at most, as far as known.
+    now : float
+        Present time.
+    """
+    return min(expires_at, now + longest_s) <= stop.ends_at
--- /dev/null
+++ b/tests/gateway/test_stopping.py
@@ -0,0 +1,62 @@
+"""Requests that reach a node after its SIGTERM: answered in time, or refused as not run."""
+
+import pytest
+
+from briarpond.gateway._stopping import Stop
+
+from .world import STAMP_HEADER, Gateway
+
+GRACE_S = 8.0
+MARGIN_S = 0.5
+
+
+def stopping_gateway(tmp_path, elapsed_s, others_ready=True):
+    """Return a gateway that got its SIGTERM `elapsed_s` ago."""
+    gateway = Gateway(tmp_path)
+    began_at = gateway.clock.now()
+    gateway.ingress.stop = Stop(began_at, began_at + GRACE_S - MARGIN_S)
+    gateway.ingress.others_are_ready = lambda: others_ready
+    gateway.clock.advance(elapsed_s)
+    return gateway
+
+
+# Guards against a stopping node that takes a stream which it will cut at its end: its caller
+# can't tell whether it ran, though another node would have answered it whole.
+@pytest.mark.parametrize("elapsed_s", [0.0, 1.0, 2.9, 3.02, 3.19])
+def test_stream_that_may_outlast_the_node_is_refused_as_not_run(tmp_path, elapsed_s):
+    gateway = stopping_gateway(tmp_path, elapsed_s)
+    reply = gateway.send_request("/plan/x", x_briarpond_model="big")
+    assert reply.status == 503 and not gateway.client.sent
+    assert 0 < float(reply.header("retry-after")) < 0.1
+    assert gateway.ingress.in_flight == 0
+
+
+def test_request_whose_deadline_ends_before_the_node_is_taken(tmp_path):
+    gateway = stopping_gateway(tmp_path, 3.02)
+    stream = gateway.send_request("/plan/x", deadline_ms=4000, x_briarpond_model="big")
+    order = gateway.send_request("/order/1")
+    assert len(gateway.client.sent) == 2
+    gateway.client.sent[1].answer_whole(200, b"ok", STAMP_HEADER)
+    assert order.status == 200 and not stream.ended
+
+
+def test_stream_that_is_short_by_its_tokens_is_taken(tmp_path):
+    gateway = stopping_gateway(tmp_path, 2.0)
+    model = {"x_briarpond_model": "big"}
+    short = gateway.send_request("/plan/x", x_briarpond_token_usage="979,20", **model)
+    assert len(gateway.client.sent) == 1 and not short.ended
+    long = gateway.send_request("/plan/x", x_briarpond_token_usage="979,5000", **model)
+    assert len(gateway.client.sent) == 1 and long.status == 503
+
+
+# If all nodes stop at once, a caller has nowhere else to go.
+def test_last_node_takes_what_may_still_be_answered(tmp_path):
+    gateway = stopping_gateway(tmp_path, 1.0, others_ready=False)
+    gateway.send_request("/plan/x", x_briarpond_model="big")
+    assert len(gateway.client.sent) == 1
+
+
+def test_node_that_does_not_stop_takes_everything(tmp_path):
+    gateway = Gateway(tmp_path)
+    gateway.send_request("/plan/x", x_briarpond_model="big")
+    assert len(gateway.client.sent) == 1
