An entry from before a group opened does not prove that it closed

Cause: `ready` in the list counted as proof that a closing head has closed, though the entry was from before the opening, which the planner knew of from the answer to its order. A new planner trusted such an entry in the same way and used all members at once.

Change: the list must have shown the head open or closing before `ready` counts; until then the answer to the order to close, which is sent again, decides. A new planner closes listed groups of unknown past with a wait and has their heads leave, so that a late order of its predecessor opens nothing. Groups that only stage a model are named s<term>-<n>, so that they need no close.

--- a/briarpond/placement/_formation.py
+++ b/briarpond/placement/_formation.py
@@ -9,7 +9,7 @@
 
 from ._layout import GroupQuotas
 from ._loads import LoadBudget
-from ._models import GroupStage, PlannedGroup
+from ._models import SERVING_PREFIX, STAGING_PREFIX, GroupStage, PlannedGroup
 from ._roster import Roster
 
 # Epochs that one term of the planner's lease can hand out: an epoch is the term times
@@ -277,7 +277,8 @@
     ) -> None:
         """Add a group to the roster under a new name and epoch."""
         number = next(self._group_numbers)
-        name = GroupId(f"g{self.term}-{number}")
+        prefix = STAGING_PREFIX if stage is GroupStage.STAGING else SERVING_PREFIX
+        name = GroupId(f"{prefix}{self.term}-{number}")
         epoch = self.term * EPOCHS_PER_TERM + number
         slowest = max(self._roster.expected_join_s(member, spec) for member in members)
         self._roster.groups[name] = PlannedGroup(
--- a/briarpond/placement/_models.py
+++ b/briarpond/placement/_models.py
@@ -90,6 +90,17 @@
     HEAD_LOST = "head_lost"
 
 
+# First letter of the names of groups that only stage a model, and of those that serve. A later
+# planner tells by it that no planner has ordered a group to open.
+STAGING_PREFIX = "s"
+SERVING_PREFIX = "g"
+
+
+def is_staging_name(group: GroupId) -> bool:
+    """Whether a group was formed only to stage a model, by the name that a planner gave it."""
+    return group.startswith(STAGING_PREFIX)
+
+
 class PlannedGroup(msgspec.Struct):
     """A group that the planner forms, keeps or dissolves.
 
@@ -117,8 +128,14 @@
         Time from which a member's accepted join is overdue, and the order is sent again.
     abort_requests : bool
         Whether closing aborts running requests instead of letting them finish.
-    open_unanswered : bool
-        Whether an order to open got no answer and may still be carried out.
+    opens_unanswered : int
+        Orders to open without an answer, which may still be carried out.
+    may_open_late : bool
+        Whether an earlier planner may have ordered the head to open. Once the group is closed,
+        the head must leave it, so that this order finds it in no group.
+    head_listed_serving : bool
+        Whether the list has shown the head open or closing. Only then does an entry that shows
+        it ready tell that it has closed; before, the entry may be from before it opened.
     join_deadline : float
         Time after which joining counts as failed and the group is abandoned.
     expected_join_s : float
@@ -137,7 +154,9 @@
     last_order_at: dict[InstanceId, float] = msgspec.field(default_factory=dict)
     join_overdue_at: dict[InstanceId, float] = msgspec.field(default_factory=dict)
     abort_requests: bool = True
-    open_unanswered: bool = False
+    opens_unanswered: int = 0
+    may_open_late: bool = False
+    head_listed_serving: bool = False
     join_deadline: float = 0.0
     expected_join_s: float = 0.0
 
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -6,7 +6,8 @@
 - a head is ordered to open only after every member was seen ready under the
   group's name, epoch and member list, and only for groups that this planner formed;
 - an instance is ordered to join another group only when the head of its old group is
-  known not to serve, or once the instance has confirmed that it left.
+  known not to serve, or once the instance has confirmed that it left. An entry of the list
+  may be older than the opening of the group, so that it is no proof by itself.
 
 Epochs start with the term of the planner's lease, so that instances reject orders that
 an earlier planner sent and that arrive late.
@@ -21,7 +22,7 @@
 from ._formation import JOIN_TIMEOUT_FACTOR, JOIN_TIMEOUT_MARGIN_S, Formation
 from ._layout import initial_layout
 from ._loads import LoadBudget
-from ._models import GroupStage, Order, OrderKind, PlannedGroup
+from ._models import GroupStage, Order, OrderKind, PlannedGroup, is_staging_name
 from ._roster import Roster
 
 # All durations are in seconds.
@@ -39,6 +40,9 @@
 # HTTP statuses of an answer to an order to leave that mean that the instance is no longer
 # in the group.
 LEFT_STATUSES = frozenset({200, 409})
+# HTTP statuses of an answer to an order to close or to leave that mean that the head does not
+# serve the group: it has closed or left, is not in the group, or is another instance.
+CLOSED_STATUSES = frozenset({200, 409, 421})
 # Instances enter the list one by one. Before the first request arrives, groups are formed
 # only once the list has not grown for the first of these times, or at the latest when the
 # second has passed since its first entry.
@@ -145,7 +149,8 @@
         """
         if status is None:
             self._unanswered_at[order.instance] = now
-            self._record_unanswered_open(order)
+            if order.kind is OrderKind.OPEN and order.group in self.groups:
+                self.groups[order.group].opens_unanswered += 1
             return
         self.clear_lost(order.instance)
         confirmed_leave = order.kind is OrderKind.LEAVE and status in LEFT_STATUSES
@@ -161,25 +166,28 @@
         elif confirmed_leave:
             group.left_members.add(order.instance)
         if self._confirms_close(group, order, status):
-            self._release(group, now)
+            self._on_closed(group, order, now)
 
     def _confirms_close(self, group: PlannedGroup, order: Order, status: int) -> bool:
         """Whether an answer shows that the head of a closing group no longer serves.
 
-        Status 200 means that the head has closed or left the group, 409 that it is no
-        longer in the group, and 421 that another instance has its address. Once it has
-        left, it cannot carry out a late order to open either. With any other status,
-        for instance while running requests finish, the group is released when the list
-        shows the head closed.
+        With any other status, for
+        instance while running requests finish, the order is sent again.
         """
         closing = group.stage is GroupStage.CLOSING and order.instance == group.head
-        return closing and status in (200, 409, 421)
+        return closing and status in CLOSED_STATUSES
 
-    def _record_unanswered_open(self, order: Order) -> None:
-        """Note that an order to open got no answer and may still be carried out."""
-        group = self.groups.get(order.group)
-        if order.kind is OrderKind.OPEN and group is not None:
-            group.open_unanswered = True
+    def _on_closed(self, group: PlannedGroup, order: Order, now: float) -> None:
+        """Release a group, unless its head could still carry out a late order to open."""
+        if self._must_leave(group) and order.kind is not OrderKind.LEAVE:
+            group.last_order_at.clear()
+            group.abort_requests = True
+            return
+        self._release(group, now)
+
+    def _must_leave(self, group: PlannedGroup) -> bool:
+        """Whether an order to open may still be carried out, which a close does not prevent."""
+        return group.opens_unanswered > 0 or group.may_open_late
 
     # Decisions
 
@@ -268,12 +276,20 @@
         """Update the stage of a group by the state that the list shows for its head."""
         serving = group.stage in (GroupStage.OPEN, GroupStage.OPENING)
         closing = group.stage is GroupStage.CLOSING
+        if state in (MemberState.OPEN, MemberState.CLOSING):
+            group.head_listed_serving = True
         if state is MemberState.OPEN and group.stage is GroupStage.OPENING:
             group.enter_stage(GroupStage.OPEN, now)
             group.serves_from = now
             return
         broken = state is MemberState.BROKEN and (serving or closing)
-        closed = state is MemberState.READY and closing and bool(group.last_order_at)
+        closed = (
+            state is MemberState.READY
+            and closing
+            and bool(group.last_order_at)
+            and group.head_listed_serving
+            and not self._must_leave(group)
+        )
         if broken or closed:
             self._release(group, now)
 
@@ -281,7 +297,8 @@
         """Add listed groups that an earlier planner formed.
 
         Open and closing groups are kept or closed; an instance that is staging a model
-        may finish.
+        may finish. The head of any other group may be open by now, or be ordered to open by a
+        late order, so it is closed before its members are free.
         """
         for group in assemble_groups(self._roster.instances.values()):
             if group.id in self.groups:
@@ -293,6 +310,23 @@
                 self._adopt_open_group(group, now)
             elif group.state is MemberState.JOINING and self._is_staging_group(group):
                 self._adopt_staging_group(group, now)
+            elif self._may_have_opened(group):
+                self._adopt_unopened_group(group, now)
+
+    def _may_have_opened(self, group: ListedGroup) -> bool:
+        """Whether a planner may have ordered a group to open that the list shows unopened."""
+        if group.state is MemberState.BROKEN or (group.id, group.epoch) in self._released_at:
+            return False
+        return not is_staging_name(group.id) and self._roster.usable(group.head)
+
+    def _adopt_unopened_group(self, group: ListedGroup, now: float) -> None:
+        """Close a group that is listed as unopened; requests that run all the same may finish."""
+        planned = PlannedGroup(
+            group.id, group.epoch, group.model, group.members, GroupStage.CLOSING, now
+        )
+        planned.may_open_late = True
+        self.groups[group.id] = planned
+        self._begin_close(planned, False, now)
 
     def _adopt_open_group(self, group: ListedGroup, now: float) -> None:
         """Keep an open group if it is complete; close it otherwise."""
@@ -314,8 +348,8 @@
             self._begin_close(planned, True, now)
 
     def _is_staging_group(self, group: ListedGroup) -> bool:
-        """Whether a group was formed only to stage a model on its one member."""
-        return len(group.members) == 1 and (group.id, group.epoch) not in self._released_at
+        """Whether a group was formed only to stage a model, and not by this planner."""
+        return is_staging_name(group.id) and (group.id, group.epoch) not in self._released_at
 
     def _adopt_staging_group(self, group: ListedGroup, now: float) -> None:
         """Let a spare finish the load that an earlier planner started."""
@@ -338,7 +372,7 @@
             case GroupStage.STAGING | GroupStage.JOINING:
                 return self._orders_to_join(group, now)
             case GroupStage.OPENING:
-                return self._due_orders(group, (group.head,), OrderKind.OPEN, now)
+                return self._orders_to_open(group, now)
             case GroupStage.CLOSING:
                 return self._orders_to_close(group, now)
             case GroupStage.HEAD_LOST:
@@ -389,10 +423,10 @@
             return []
         if len(group.ready_members) == len(group.members):
             if group.stage is GroupStage.STAGING:
-                del self.groups[group.id]
+                self._release(group, now)
                 return []
             group.enter_stage(GroupStage.OPENING, now)
-            return self._due_orders(group, (group.head,), OrderKind.OPEN, now)
+            return self._orders_to_open(group, now)
         not_ready = tuple(
             member
             for member in group.members
@@ -400,6 +434,9 @@
         )
         return self._due_orders(group, not_ready, OrderKind.JOIN, now)
 
+    def _orders_to_open(self, group: PlannedGroup, now: float) -> list[Order]:
+        return self._due_orders(group, (group.head,), OrderKind.OPEN, now)
+
     def _abandon(self, group: PlannedGroup, now: float) -> None:
         """Release a group that was never opened.
 
@@ -414,14 +451,14 @@
     def _orders_to_close(self, group: PlannedGroup, now: float) -> list[Order]:
         """Return the order that stops the head from serving.
 
-        If an order to open got no answer, the head must leave the group: closing would
+        If an order to open got no answer yet, the head must leave the group: closing would
         not prevent that order from being carried out afterwards.
         """
         if group.head in self.lost or group.head not in self._roster.instances:
             group.enter_stage(GroupStage.HEAD_LOST, now)
             return self._orders_after_head_loss(group, now)
         kind = OrderKind.CLOSE_CUT if group.abort_requests else OrderKind.CLOSE_WAIT
-        if group.open_unanswered:
+        if group.opens_unanswered or (group.may_open_late and group.abort_requests):
             kind = OrderKind.LEAVE
         if not group.abort_requests and any(member in self.lost for member in group.members):
             group.abort_requests = True
--- /dev/null
+++ b/tests/placement/test_outdated_entries.py
@@ -0,0 +1,120 @@
+"""Entries of the list, and answers, that are older than what is known of a head.
+
+A head whose entry is outdated may be open or closing; none of its members may join another
+group before it is known to be neither.
+"""
+
+import itertools
+
+import pytest
+
+from briarpond.fleet import MemberState
+from briarpond.placement import GroupStage, Order, OrderKind
+
+from .test_planner import ENGINE, HIGH_DEMAND, steady_world
+from .world import OPEN_STATES, World
+
+LATE_S = 3.0
+
+
+def order(world, group, kind, member=None):
+    """Return an order of a kind to a member of a group, by default to its head."""
+    member = member or group.head
+    address = world.listed[member].address
+    return Order(kind, member, address, group.id, group.epoch, group.model, group.members)
+
+
+def is_serving(world, group):
+    head = world.instances[group.head]
+    return head.group is not None and head.group[0] == group.id and head.state in OPEN_STATES
+
+
+def world_with_outdated_head(state=MemberState.READY):
+    """Return a world, its planner, and an open group whose head is listed in an earlier state.
+
+    All other instances of the domain are gone, so that the members are wanted elsewhere.
+    """
+    world = World(ENGINE, 60, 10, 1)
+    world.cut_next_head_in = state
+    planner = world.planner(1)
+    world.run(planner, 120.0)
+    (head,) = (each for each in world.instances.values() if each.cut_from_list)
+    group = planner.groups[head.group[0]]
+    assert group.stage is GroupStage.OPEN and head.state is MemberState.OPEN
+    head.busy = True
+    for name, simulated in world.instances.items():
+        if simulated.domain == head.domain and name not in group.members:
+            world.kill(name)
+    return world, planner, group
+
+
+# Guards against a group that is released, while its head still serves, because the list shows the
+# head as it was before it opened.
+@pytest.mark.parametrize("state", [MemberState.READY, MemberState.JOINING])
+def test_closing_group_is_not_released_on_an_entry_from_before_it_opened(state):
+    world, planner, group = world_with_outdated_head(state)
+    world.instances[group.members[1]].draining = True
+    world.run(planner, 2.0, HIGH_DEMAND)
+    assert is_serving(world, group) and not world.violations
+    assert planner.groups[group.id].stage is GroupStage.CLOSING
+    world.finish_requests(group.head)
+    world.run(planner, 3.0, HIGH_DEMAND)
+    assert group.id not in planner.groups and not world.violations
+
+
+def test_closed_head_is_released_once_the_list_has_shown_it_serving():
+    world, planner, group = world_with_outdated_head()
+    world.instances[group.head].cut_from_list = False
+    world.instances[group.members[1]].draining = True
+    world.run(planner, 1.0, HIGH_DEMAND)
+    assert planner.groups[group.id].stage is GroupStage.CLOSING
+    world.finish_requests(group.head)
+    world.refresh()
+    planner.update_instances(list(world.listed.values()), world.now)
+    assert group.id not in planner.groups
+
+
+# Guards against a planner that takes members of a group which its predecessor opened, since the
+# list shows the head as it was before.
+@pytest.mark.parametrize("state", [MemberState.READY, MemberState.JOINING])
+def test_next_planner_closes_a_head_with_an_outdated_entry_before_it_uses_its_members(state):
+    world, _, group = world_with_outdated_head(state)
+    next_planner = world.planner(7, itertools.count(1))
+    world.run(next_planner, 2.0, HIGH_DEMAND)
+    assert not world.violations and is_serving(world, group)
+    world.finish_requests(group.head)
+    world.run(next_planner, 5.0, HIGH_DEMAND)
+    assert not world.violations
+    assert world.instances[group.head].group[0] != group.id
+
+
+# Guards against an order to open of the predecessor that is carried out after its group's members
+# have joined other groups.
+def test_late_order_of_the_predecessor_opens_nothing():
+    world, planner = steady_world()
+    group = next(each for each in planner.groups.values() if each.model == "big")
+    world.instances[group.head].state = MemberState.READY
+    world.refresh()
+    next_planner = world.planner(7, itertools.count(1))
+    world.run(next_planner, LATE_S, HIGH_DEMAND)
+    assert world.execute(order(world, group, OrderKind.OPEN)) == 409
+    world.run(next_planner, LATE_S, HIGH_DEMAND)
+    assert not world.violations
+
+
+# Guards against a head that was given up while it served, with members that never left it, and
+# that comes back with an outdated entry.
+def test_head_that_comes_back_is_closed_before_it_joins_another_group():
+    world, planner, group = world_with_outdated_head()
+    for member in group.members:
+        world.instances[member].unreachable = True
+    world.run(planner, 6.0, HIGH_DEMAND)
+    assert group.id not in planner.groups and is_serving(world, group)
+    for member in group.members:
+        world.instances[member].unreachable = False
+        planner.clear_lost(member)
+    world.run(planner, 2.0, HIGH_DEMAND)
+    assert is_serving(world, group) and not world.violations
+    world.finish_requests(group.head)
+    world.run(planner, 4.0, HIGH_DEMAND)
+    assert world.instances[group.head].group[0] != group.id and not world.violations
--- a/tests/placement/world.py
+++ b/tests/placement/world.py
@@ -31,6 +31,12 @@
         Models whose weights are on the host.
     group : tuple or None
         Name, epoch, members and model of the group that the instance belongs to.
+    busy : bool
+        Whether requests are running, so that an order to close with a wait takes effect only
+        when they have finished.
+    cut_from_list : bool
+        Whether the list goes on to show the entry that it had, as if the instance were cut off
+        from the store.
     highest_epoch : int
         Highest epoch of an accepted order to join; orders to join with a lower epoch are
         rejected.
@@ -48,6 +54,8 @@
         self.group: tuple[str, int, tuple[str, ...], str] | None = None
         self.state: MemberState | None = None
         self.highest_epoch = 0
+        self.busy = False
+        self.cut_from_list = False
 
 
 class World:
@@ -77,6 +85,8 @@
         Instance and group of each answered order to leave.
     listed : dict
         Instance list as of the last `refresh`.
+    cut_next_head_in : MemberState or None
+        State in which the next head of a group of several is cut from the list; None for none.
     """
 
     def __init__(
@@ -102,6 +112,7 @@
         self.loads: list[float] = []
         self.leave_answers: list[tuple[str, str]] = []
         self.listed: dict[str, Instance] = {}
+        self.cut_next_head_in: MemberState | None = None
         self._events: list = []
         self._event_order = itertools.count()
 
@@ -149,7 +160,9 @@
     def refresh(self) -> None:
         """Update the instance list to the present state."""
         self.listed = {
-            name: self._listed_instance(s) for name, s in self.instances.items() if s.alive
+            name: self.listed[name] if s.cut_from_list else self._listed_instance(s)
+            for name, s in self.instances.items()
+            if s.alive
         }
 
     def send(self, planner: Planner, order: Order) -> None:
@@ -186,10 +199,21 @@
             return 200
         if order.kind is OrderKind.OPEN:
             return self._open(simulated, order)
-        if simulated.state in OPEN_STATES:
-            simulated.state = MemberState.READY
+        if simulated.state not in OPEN_STATES:
+            return 200
+        if simulated.busy and order.kind is OrderKind.CLOSE_WAIT:
+            simulated.state = MemberState.CLOSING
+            return 202
+        simulated.state = MemberState.READY
         return 200
 
+    def finish_requests(self, name: str) -> None:
+        """End the running requests of an instance; a closing head is then closed."""
+        simulated = self.instances[name]
+        simulated.busy = False
+        if simulated.state is MemberState.CLOSING:
+            simulated.state = MemberState.READY
+
     def serving(self) -> list[SimulatedInstance]:
         """Return the heads of open groups."""
         return [s for s in self.instances.values() if s.alive and s.state is MemberState.OPEN]
@@ -247,6 +271,7 @@
                 self.loads.append(self.now)
         simulated.last_model = order.model
         simulated.staged = (order.model,)
+        self._cut_head(simulated)
         start_count = simulated.start_count
 
         def become_ready() -> None:
@@ -261,11 +286,22 @@
                 and simulated.state is MemberState.JOINING
             ):
                 simulated.state = MemberState.READY
+                self._cut_head(simulated)
                 self.ready_seen.add((order.group, order.epoch, simulated.name))
 
         self.schedule(duration_s, become_ready)
         return 202
 
+    def _cut_head(self, simulated: SimulatedInstance) -> None:
+        """Cut a head from the list if it is the next one to be cut."""
+        assert simulated.group is not None
+        members = simulated.group[2]
+        is_head = members[0] == simulated.name and len(members) > 2
+        if is_head and simulated.state is self.cut_next_head_in:
+            self.cut_next_head_in = None
+            self.listed[simulated.name] = self._listed_instance(simulated)
+            simulated.cut_from_list = True
+
     def _check_old_head(self, simulated: SimulatedInstance, order: Order) -> None:
         """Record a violation if an instance joins another group while its old one serves."""
         assert simulated.group is not None
