Only the answer to a close, and no order to open under way, ends a close

Cause: any 200, 409 or 421 of the head of a closing group counted, whatever order it answered; an order to open counted as one that may be carried out late only once its timeout was reported.

Change: answers to orders to close or to leave count, no others. Orders to open without an answer are counted from when they are sent; while there is one, the group is closed by leaving.

--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -43,6 +43,7 @@
 # HTTP statuses of an answer to an order to close or to leave that mean that the head does not
 # serve the group: it has closed or left, is not in the group, or is another instance.
 CLOSED_STATUSES = frozenset({200, 409, 421})
+CLOSE_KINDS = frozenset({OrderKind.CLOSE_WAIT, OrderKind.CLOSE_CUT, OrderKind.LEAVE})
 # Instances enter the list one by one. Before the first request arrives, groups are formed
 # only once the list has not grown for the first of these times, or at the latest when the
 # second has passed since its first entry.
@@ -149,8 +150,6 @@
         """
         if status is None:
             self._unanswered_at[order.instance] = now
-            if order.kind is OrderKind.OPEN and order.group in self.groups:
-                self.groups[order.group].opens_unanswered += 1
             return
         self.clear_lost(order.instance)
         confirmed_leave = order.kind is OrderKind.LEAVE and status in LEFT_STATUSES
@@ -162,6 +161,7 @@
         if order.kind is OrderKind.JOIN:
             self._on_join_answer(group, order, status, now)
         elif order.kind is OrderKind.OPEN:
+            group.opens_unanswered -= 1
             self._on_open_answer(group, status, now)
         elif confirmed_leave:
             group.left_members.add(order.instance)
@@ -171,11 +171,11 @@
     def _confirms_close(self, group: PlannedGroup, order: Order, status: int) -> bool:
         """Whether an answer shows that the head of a closing group no longer serves.
 
-        With any other status, for
+        A late answer to an order to join or to open does not. With any other status, for
         instance while running requests finish, the order is sent again.
         """
         closing = group.stage is GroupStage.CLOSING and order.instance == group.head
-        return closing and status in CLOSED_STATUSES
+        return closing and order.kind in CLOSE_KINDS and status in CLOSED_STATUSES
 
     def _on_closed(self, group: PlannedGroup, order: Order, now: float) -> None:
         """Release a group, unless its head could still carry out a late order to open."""
@@ -435,7 +435,9 @@
         return self._due_orders(group, not_ready, OrderKind.JOIN, now)
 
     def _orders_to_open(self, group: PlannedGroup, now: float) -> list[Order]:
-        return self._due_orders(group, (group.head,), OrderKind.OPEN, now)
+        orders = self._due_orders(group, (group.head,), OrderKind.OPEN, now)
+        group.opens_unanswered += len(orders)
+        return orders
 
     def _abandon(self, group: PlannedGroup, now: float) -> None:
         """Release a group that was never opened.
--- a/tests/placement/test_outdated_entries.py
+++ b/tests/placement/test_outdated_entries.py
@@ -102,6 +102,38 @@
     assert not world.violations
 
 
+# Guards against a released group whose head is open: the answer was one to the order to open.
+@pytest.mark.parametrize("status", [200, 409, 421])
+@pytest.mark.parametrize("kind", [OrderKind.OPEN, OrderKind.JOIN])
+def test_late_answer_to_another_order_does_not_end_a_close(kind, status):
+    world, planner, group = world_with_outdated_head()
+    world.instances[group.members[1]].draining = True
+    world.run(planner, 0.3, HIGH_DEMAND)
+    assert planner.groups[group.id].stage is GroupStage.CLOSING
+    planner.on_order_answer(order(world, group, kind), status, world.now)
+    assert group.id in planner.groups
+
+
+# Guards against an order to open that is still under way when the group is closed, and is carried
+# out after the close.
+def test_group_with_an_order_to_open_under_way_is_closed_by_leaving():
+    world, planner = steady_world()
+    group = next(each for each in planner.groups.values() if each.model == "big")
+    planned = planner.groups[group.id]
+    head = world.instances[group.head]
+    head.state = MemberState.READY
+    world.refresh()
+    planned.enter_stage(GroupStage.OPENING, world.now)
+    planner.update_instances(list(world.listed.values()), world.now)
+    sent = [each for each in planner.next_orders({}, world.now) if each.group == group.id]
+    assert [each.kind for each in sent] == [OrderKind.OPEN]
+    world.instances[group.members[1]].draining = True
+    world.refresh()
+    planner.update_instances(list(world.listed.values()), world.now)
+    sent = [each for each in planner.next_orders({}, world.now) if each.group == group.id]
+    assert [each.kind for each in sent] == [OrderKind.LEAVE]
+
+
 # Guards against a head that was given up while it served, with members that never left it, and
 # that comes back with an outdated entry.
 def test_head_that_comes_back_is_closed_before_it_joins_another_group():
