Answers without end share one bound of memory

Callers saw (report of another operator): a faulty server sent bytes without end, and the node that had called it ran out of memory; the requests of its other callers ended with it.

Cause: each answer was kept up to 8 MiB and each event up to 1 MiB, but all together without a bound; so was what callers left unread, up to 4 MiB each. Servers that sent no HTTP were asked again at once.

A plain server whose answer is no HTTP is avoided for a second.

--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -151,6 +151,7 @@
         self._failed_connects = 0
         self._status = 0
         self._answer_body = bytearray()
+        self._kept_bytes = 0
         self._answer_headers: Headers = ()
         self._is_stream = False
         self._headers_forwarded = False
@@ -307,8 +308,6 @@
         self.last_progress = now
         self.first_event_seen = False
         self._send_state = SendState(now, choice.epoch)
-        self._event_splitter.discard_partial_event()
-        self._answer_body.clear()
         self._prompt_tokens = self.request_size.prompt_tokens
         state.load_tracker.record_sent(choice.instance, self._prompt_tokens)
         call = HttpCall(
@@ -405,15 +404,15 @@
         if not self._is_stream:
             self.last_progress = now
             self._answer_body += data
-            if len(self._answer_body) > MAX_ANSWER_BYTES:
-                self._on_send_failed(SendFailure.UNKNOWN, "answer_too_large")
+            if len(self._answer_body) > MAX_ANSWER_BYTES or not self._may_keep():
+                self._give_up_on_server("answer_too_large", now)
             return
         try:
             complete_events = self._event_splitter.feed(data)
         except DamagedEventError:
             self._give_up_on_server("event_damaged", now)
             return
-        if self._event_splitter.partial_size > MAX_EVENT_BYTES:
+        if self._event_splitter.partial_size > MAX_EVENT_BYTES or not self._may_keep():
             self._give_up_on_server("event_too_large", now)
             return
         if has_fields(complete_events):
@@ -428,6 +427,18 @@
         self._state.avoid(self.server, now)
         self._on_send_failed(SendFailure.UNKNOWN, reason)
 
+    def _may_keep(self) -> bool:
+        """Count what is kept of the answer; return whether there is room for it."""
+        before = self._kept_bytes
+        self._kept_bytes = len(self._answer_body) + self._event_splitter.partial_size
+        return self._state.kept_bytes.change(before, self._kept_bytes)
+
+    def _forget_kept(self) -> None:
+        """Drop what is kept of the present send's answer."""
+        self._answer_body.clear()
+        self._event_splitter.discard_partial_event()
+        self._may_keep()
+
     def _record_progress(self, now: float) -> None:
         """Note that events have arrived; bytes that complete none are no progress."""
         if self.first_event_seen and self.server is not None:
@@ -462,6 +473,7 @@
         else:
             self._first_byte_at = self._state.clock.now()
             self._reply.send_whole(self._status, self._answer_headers, bytes(self._answer_body))
+        self._forget_kept()
         self._state.metrics.sends.inc({"end": "answered"})
         self._finish("answered")
 
@@ -484,6 +496,9 @@
             self._failed_connects += 1
             self._on_send_failed(SendFailure.NOT_SENT, reason.value)
         else:
+            if reason is LossReason.MALFORMED and self._state.engine(self._service) is None:
+                # Another plain server can do the same; a group would be missed.
+                self._state.avoid(self.server, now)
             self._record_crash(now)
             self._on_send_failed(SendFailure.UNKNOWN, reason.value)
 
@@ -607,6 +622,7 @@
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.cancel()
+        self._forget_kept()
         self._release_server()
 
     def _release_server(self) -> None:
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -30,6 +30,7 @@
 from briarpond.quarantine import Quarantine
 from briarpond.routes import EngineSpec, GatewayConfiguration, ModelName, RouteTable
 
+from ._kept_bytes import KeptBytes
 from ._metrics import GatewayMetrics
 from ._quarantine_link import QuarantineLink
 
@@ -86,6 +87,8 @@
         Order in which this node uses groups.
     event_gap_tracker : EventGapTracker
         Time between events of the streams of each head.
+    kept_bytes : KeptBytes
+        Memory that incomplete answers of servers take up.
     quarantine_link : QuarantineLink
         Prompt parts that end servers, and what is reported of them.
     leaving : bool
@@ -116,6 +119,7 @@
         self.group_preferences = GroupPreferences(settings.node, settings.data_centre)
         self.event_gap_tracker = EventGapTracker()
         self.metrics = GatewayMetrics()
+        self.kept_bytes = KeptBytes()
         self.quarantine_link = QuarantineLink(
             self.metrics, clock, lambda now: len(self.groups(now))
         )
--- a/briarpond/net/_http_server.py
+++ b/briarpond/net/_http_server.py
@@ -20,6 +20,8 @@
 DEFAULT_HEADER_BYTES = 16_384
 # A connection with more buffered bytes that the caller has not read is closed.
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
+# The same for all connections of a server together; those with the most are closed.
+MAX_UNREAD_IN_ALL_BYTES = 48 * 1024 * 1024
 
 
 class HttpRequest(msgspec.Struct):
@@ -207,6 +209,16 @@
         now = self.clock.now()
         for caller in list(self.connections):
             caller.close_if_timed_out(now)
+        self._limit_unread()
+
+    def _limit_unread(self) -> None:
+        """Close the connections with the most unread bytes while all have too many."""
+        by_size = sorted(self.connections, key=lambda caller: caller.unread_bytes)
+        total = sum(caller.unread_bytes for caller in by_size)
+        while total > MAX_UNREAD_IN_ALL_BYTES:
+            caller = by_size.pop()
+            total -= caller.unread_bytes
+            caller.disconnect()
 
 
 class CallerConnection:
@@ -260,9 +272,8 @@
         as disconnected.
         """
         self._send(self._h11.send(h11.Data(data=data)))
-        if len(self._conn.send_buffer) > MAX_UNREAD_BYTES:
-            self._conn.close()
-            self.on_closed(True)
+        if self.unread_bytes > MAX_UNREAD_BYTES:
+            self.disconnect()
 
     def end_response(self) -> None:
         """End the answer; continue with the next request, or close the connection."""
@@ -280,6 +291,16 @@
             if not self._processing_events:
                 self._server.clock.after(0.0, self._process_events)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of answers that the caller has not read, as far as they wait in this process."""
+        return len(self._conn.send_buffer)
+
+    def disconnect(self) -> None:
+        """Close the connection at once; the caller counts as disconnected."""
+        self._conn.close()
+        self.on_closed(True)
+
     @property
     def awaits_answer(self) -> bool:
         """Whether a request, or part of one, has arrived and is not answered completely."""
--- a/tests/gateway/test_server_faults.py
+++ b/tests/gateway/test_server_faults.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from briarpond.gateway._kept_bytes import MAX_KEPT_BYTES
 from briarpond.gateway._run import MAX_ANSWER_BYTES, MAX_EVENT_BYTES
 from briarpond.net import HttpRequest, LossReason
 
@@ -92,6 +93,48 @@
     assert MAX_ANSWER_BYTES <= 16 * 1024 * 1024
 
 
+# Guards against a server whose answers without end are each within their limit, but together take
+# all memory of the process; its other requests ended with it.
+def test_answers_without_end_share_one_bound(tmp_path):
+    gateway = Gateway(tmp_path)
+    kept = gateway.state.kept_bytes
+    replies = [gateway.send_request("/order/1") for _ in range(18)]
+    sends = list(gateway.client.sent)
+    for sent in sends:
+        sent.answer_head(200, STAMP_HEADER)
+    largest = 0
+    for _ in range(2 * MAX_ANSWER_BYTES // 262_144):
+        for sent in sends:
+            if not sent.cancelled:
+                sent.call.on_body(b"x" * 262_144)
+        largest = max(largest, kept.total)
+    assert len(sends) * MAX_ANSWER_BYTES > 2 * MAX_KEPT_BYTES
+    assert largest <= MAX_KEPT_BYTES + 262_144
+    assert {reply.status for reply in replies} == {502} and kept.total == 0
+
+
+# Guards against a server that sends no HTTP and gets request after request all the same.
+def test_plain_server_whose_answer_is_no_http_is_avoided(tmp_path):
+    gateway = Gateway(tmp_path)
+    gateway.send_request("/order/1")
+    (sent,) = gateway.client.sent
+    sent.call.on_lost(LossReason.MALFORMED)
+    faulty = sent.header("x-briarpond-expect-instance")
+    for _ in range(10):
+        gateway.send_request("/order/1")
+    servers = {each.header("x-briarpond-expect-instance") for each in gateway.client.sent[1:]}
+    assert len(servers) == 2 and faulty not in servers
+
+
+def test_small_answers_are_kept_while_others_take_up_the_memory(tmp_path):
+    gateway = Gateway(tmp_path)
+    gateway.state.kept_bytes.change(0, 2 * MAX_KEPT_BYTES)
+    reply = gateway.send_request("/order/1")
+    gateway.client.sent[0].answer_whole(200, b"ok" * 1000, STAMP_HEADER)
+    assert reply.status == 200 and reply.body == b"ok" * 1000
+    assert gateway.state.kept_bytes.total == 2 * MAX_KEPT_BYTES
+
+
 def break_off_and_resume(gateway):
     """Return a stream whose first server was lost, with the send that is to resume it."""
     reply = gateway.send_stream_request()
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -21,6 +21,7 @@
     HttpServerLimits,
     TcpListener,
 )
+from briarpond.net._http_server import MAX_UNREAD_IN_ALL_BYTES
 
 
 def free_port():
@@ -517,3 +518,32 @@
     loop.clock.after(0.0, fetch)
     loop.wait_until(lambda: failures, 2.0)
     assert [reason.value for reason in failures] == ["invalid-request"]
+
+
+class UnreadConnection:
+    """Stands in for a `Connection` whose other side does not read."""
+
+    def __init__(self, size):
+        self.send_buffer = bytearray(size)
+        self.callbacks = None
+        self.closed = False
+
+    def close(self):
+        self.closed = True
+        self.send_buffer.clear()
+
+
+# Guards against callers that do not read and together take up all memory, though each stays
+# below its own limit: those with the most are closed.
+def test_unread_answers_of_all_callers_share_one_bound(loop):
+    server, _ = serve(loop, echo([]))
+    sizes = [MAX_UNREAD_IN_ALL_BYTES // 16 + number for number in range(20)]
+    connections = [UnreadConnection(size) for size in sizes]
+    for connection in connections:
+        server.accept(connection)
+    loop.wait_until(lambda: any(connection.closed for connection in connections))
+    loop.wait_until(lambda: len(server.connections) < len(sizes))
+    closed = [connection.closed for connection in connections]
+    assert closed == sorted(closed) and 4 <= sum(closed) <= 6
+    left = sum(len(connection.send_buffer) for connection in connections)
+    assert left <= MAX_UNREAD_IN_ALL_BYTES
