A begun stream is not given up for a server that may have no room

Change: a stream that has begun is moved only to a server with room. If servers turn it away it waits for another one, up to eight sends and its own timeout; only runs that fail use up the route's attempts. Each send beyond the first still needs the retry budget, which is no longer charged for a request that stays where it is (an open finding).

Evidence: the four new tests failed before, pass now; tests of gateway and dispatch 194 passed.

--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -5,11 +5,12 @@
 from ._events import DamagedEventError, ResumableEventSplitter, has_fields
 from ._load import InFlightLoad, LoadTracker
 from ._pace import EventGapTracker
-from ._recovery import RecoveryAction, SendFailure, SendProgress, decide_recovery
+from ._recovery import MIN_REMAINING_S, RecoveryAction, SendFailure, SendProgress, decide_recovery
 from ._speed import RequestSize, expected_first_event_s, slot_occupancy_s
 from ._subset import GroupPreferences, subset_size
 
 __all__ = [
+    "MIN_REMAINING_S",
     "AdmissionAction",
     "AdmissionDecision",
     "DamagedEventError",
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 from briarpond.dispatch import (
+    MIN_REMAINING_S,
     AdmissionAction,
     DamagedEventError,
     RecoveryAction,
@@ -56,6 +57,8 @@
 DEFAULT_DEADLINE_S = 30.0
 # A longer deadline is read as this.
 MAX_DEADLINE_MS = 86_400_000
+# Sends of a stream that has begun, those included that servers turned away.
+MAX_SENDS_OF_BEGUN_STREAM = 8
 # Statuses with which a server may state that it has not executed a request.
 NOT_EXECUTED_STATUSES = frozenset({421, 429, 503})
 # Headers of the caller that are not sent to servers; some are replaced by the node's own.
@@ -146,6 +149,10 @@
         self._request_key = self._request_id or f"unnamed-{id(self)}"
         self._exchange: Exchange | None = None
         self._tried: list[InstanceId] = []
+        # Servers that are not chosen, and those that may have run the request.
+        self._excluded: list[InstanceId] = []
+        self._ran_at: list[InstanceId] = []
+        self._is_send_granted = False
         self._sends = 0
         self._possible_runs = 0
         self._failed_connects = 0
@@ -262,22 +269,27 @@
         """Cancel the present send, whose server stalled, and send elsewhere if permitted.
 
         The present send goes on if the request must not run twice, if the retry budget is
-        used up, or if there is no other server.
+        used up, or if there is no other server. A stream that has begun also needs a server
+        with room: to wait for one in vain would end it, while its server may only be silent.
         """
         if self._exchange is None or self.server is None:
             return
         if not self.route.repeatable and self._sends:
             return
+        choice = self._choose(now, excluded=self.server)
+        if choice is None or (self._headers_forwarded and not choice.has_room):
+            return
         recovery = decide_recovery(
             self.route,
             SendFailure.UNKNOWN,
             self._progress(),
             self.expires_at - now,
-            self._take_retry_budget(now),
-            self._is_suspect(now),
+            has_retry_budget=True,
+            is_suspect=self._is_suspect(now),
         )
-        if recovery is not RecoveryAction.RETRY or self._choose(now, excluded=self.server) is None:
+        if recovery is not RecoveryAction.RETRY or not self._take_retry_budget(now):
             return
+        self._is_send_granted = True
         self._reason = "stalled"
         self._log_lost_send(self._reason, now)
         self._cancel_send()
@@ -287,24 +299,30 @@
 
     def _choose(self, now: float, excluded: InstanceId | None = None) -> ServerChoice | None:
         state = self._state
-        tried = self._tried if excluded is None else [*self._tried, excluded]
+        tried = self._excluded if excluded is None else [*self._excluded, excluded]
         engine = state.engine(self._service)
         if engine is None:
             return best_server(state, self._service, tried, now, state.rng)
         return best_group(state, engine, self.model, self.request_size, tried, now)
 
     def _continue_stream(self, choice: ServerChoice | None, now: float) -> None:
-        if choice is not None and choice.has_room:
-            self.held = False
+        has_room = choice is not None and choice.has_room
+        if choice is not None and has_room and self._may_send_again(now):
             self._send(choice, now)
         else:
-            self.held = True
+            self._hold_begun_stream()
+
+    def _may_send_again(self, now: float) -> bool:
+        """Whether another send was granted when the last one ended, or is granted now."""
+        return self._is_send_granted or self._take_retry_budget(now)
 
     def _send(self, choice: ServerChoice, now: float) -> None:
         state = self._state
         self.held = False
         self.server = choice.instance
         self._tried.append(choice.instance)
+        self._excluded.append(choice.instance)
+        self._is_send_granted = False
         self.last_progress = now
         self.first_event_seen = False
         self._send_state = SendState(now, choice.epoch)
@@ -353,6 +371,8 @@
     def _on_sent(self) -> None:
         self._sends += 1
         self._possible_runs += 1
+        if self.server is not None:
+            self._ran_at.append(self.server)
         self._send_state.was_sent = True
 
     # Answers
@@ -390,6 +410,7 @@
         state = self._state
         self._possible_runs -= 1
         assert self.server is not None
+        self._ran_at.remove(self.server)
         if headers_by_name.get(PlatformHeader.FAILED_SERVER):
             # Before it is avoided: a server that is avoided already is not reported again.
             self._report_stalled(self.server)
@@ -556,9 +577,30 @@
         )
         needs_no_budget = failure is SendFailure.NOT_SENT
         if recovery is RecoveryAction.RETRY and (needs_no_budget or self._take_retry_budget(now)):
+            self._is_send_granted = True
             self.try_send()
-            return
-        self._end_without_answer(0.0)
+        elif self._may_wait_for_another_server(failure, now):
+            self._hold_begun_stream()
+        else:
+            self._end_without_answer(0.0)
+
+    def _may_wait_for_another_server(self, failure: SendFailure, now: float) -> bool:
+        """Whether a stream that has begun goes on, though the send that was to resume it failed.
+
+        It does if the server has not run it: only a run that failed uses up the route's attempts.
+        """
+        return (
+            self._headers_forwarded
+            and failure is not SendFailure.UNKNOWN
+            and self._sends < MAX_SENDS_OF_BEGUN_STREAM
+            and self.expires_at - now > MIN_REMAINING_S
+            and not self._is_suspect(now)
+        )
+
+    def _hold_begun_stream(self) -> None:
+        """Wait for a server with room; one that has turned the stream away may be asked again."""
+        self.held = True
+        self._excluded = self._ran_at.copy()
 
     def _take_retry_budget(self, now: float) -> bool:
         """Whether the retry budget has room for another send; it is counted if so."""
--- a/tests/gateway/test_server_faults.py
+++ b/tests/gateway/test_server_faults.py
@@ -7,7 +7,11 @@
 import pytest
 
 from briarpond.gateway._kept_bytes import MAX_KEPT_BYTES
-from briarpond.gateway._run import MAX_ANSWER_BYTES, MAX_EVENT_BYTES
+from briarpond.gateway._run import (
+    MAX_ANSWER_BYTES,
+    MAX_EVENT_BYTES,
+    MAX_SENDS_OF_BEGUN_STREAM,
+)
 from briarpond.net import HttpRequest, LossReason
 
 from .world import STAMP_HEADER, Gateway, RecordedReply
@@ -225,3 +229,75 @@
     assert sent.cancelled and not reply.ended
     assert gateway.client.sent[1].header("last-event-id") == "0"
     assert reply.body == b"id: 0\ndata: x\n\n"
+
+
+def silent_stream(gateway):
+    """Return a stream whose server falls silent after the first event, with its send."""
+    reply, sent = begun_stream(gateway)
+    assert not sent.cancelled
+    return reply, sent
+
+
+def fill_others(gateway, sent, seconds):
+    """Let all heads but that of a send count as full."""
+    for head in ("h1", "h2", "h3"):
+        if head != sent.header("x-briarpond-expect-instance"):
+            gateway.state.load_tracker.mark_full(head, gateway.clock.now() + seconds)
+
+
+# Guards against a stream that is taken from a silent but sound server while no other has room, and
+# then ends without one: the server went on, and its answer would have been whole.
+def test_begun_stream_stays_at_a_silent_server_until_another_has_room(tmp_path):
+    gateway = Gateway(tmp_path)
+    reply, sent = silent_stream(gateway)
+    fill_others(gateway, sent, 1.5)
+    gateway.clock.advance(1.2)
+    assert not sent.cancelled
+    sent.call.on_body(b"id: 1\ndata: y\n\n")
+    sent.call.on_end()
+    assert reply.ended and not reply.aborted and len(gateway.client.sent) == 1
+
+
+def test_request_that_cannot_be_moved_takes_nothing_from_the_retry_budget(tmp_path):
+    gateway = Gateway(tmp_path)
+    _, sent = silent_stream(gateway)
+    fill_others(gateway, sent, 10.0)
+    budget = gateway.state.retry_budget("pool")
+    granted = []
+    acquire = budget.try_acquire
+    budget.try_acquire = lambda *args: granted.append(acquire(*args)) or granted[-1]
+    gateway.clock.advance(3.0)
+    assert not granted and not sent.cancelled
+
+
+# Guards against a begun stream that is cut because the servers that were to resume it are full
+# for a moment: they have not run it.
+def test_begun_stream_that_is_turned_away_waits_for_another_server(tmp_path):
+    gateway = Gateway(tmp_path)
+    reply, first = silent_stream(gateway)
+    first.call.on_lost(LossReason.CONNECTION_LOST)
+    not_executed = ("x-briarpond-not-executed", "1")
+    for number in range(1, 6):
+        gateway.clock.advance(0.3)
+        gateway.client.sent[number].answer_head(503, not_executed)
+        assert not reply.ended
+    gateway.clock.advance(0.3)
+    last = gateway.client.sent[6]
+    assert last.header("last-event-id") == "0"
+    last.answer_head(200, STAMP_HEADER)
+    last.call.on_body(b"id: 1\ndata: y\n\n")
+    last.call.on_end()
+    assert reply.ended and not reply.aborted
+
+
+def test_begun_stream_is_turned_away_a_bounded_number_of_times(tmp_path):
+    gateway = Gateway(tmp_path)
+    reply, first = silent_stream(gateway)
+    first.call.on_lost(LossReason.CONNECTION_LOST)
+    answered = 1
+    while not reply.ended and answered < 20:
+        gateway.clock.advance(0.3)
+        if len(gateway.client.sent) > answered:
+            gateway.client.sent[answered].answer_head(503, ("x-briarpond-not-executed", "1"))
+            answered += 1
+    assert reply.aborted and len(gateway.client.sent) == MAX_SENDS_OF_BEGUN_STREAM
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -65,10 +65,11 @@
 
     async def stream_answer(self, headers, body, writer) -> None:
         """Send events with the pauses of this soak, from `Last-Event-ID` on."""
+        request_id = headers["x-briarpond-request-id"]
         if self.state != "open" or self.running >= 9:
-            writer.write(encode_answer(503, X_Briarpond_Not_Executed=1))
+            answer = {"X_Briarpond_Not_Executed": 1, "X_Briarpond_Request_Id": request_id}
+            writer.write(encode_answer(503, **answer))
             return
-        request_id = headers["x-briarpond-request-id"]
         run = Run(self.id, time.monotonic())
         self.soak.requests[request_id].runs.append(run)
         self.running += 1
