Split of the forwarding of one request: caller's headers and kept answer apart

No behaviour changes: what the headers of a request say, the headers of a send, and what is kept of an answer were moved out of gateway/_run.py (729 lines before, 657 after). Tests of the gateway: 175 passed.

--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -8,8 +8,6 @@
     AdmissionAction,
     DamagedEventError,
     RecoveryAction,
-    RequestSize,
-    ResumableEventSplitter,
     SendFailure,
     SendProgress,
     decide_admission,
@@ -26,19 +24,18 @@
     HttpRequest,
     LossReason,
     media_type,
-    parse_count,
     run_guarded,
 )
 from briarpond.platform import (
     HOP_BY_HOP_HEADERS,
     PlatformHeader,
-    parse_prompt_parts,
     parse_server_load,
-    parse_token_counts,
 )
 from briarpond.quarantine import Block, CrashKey
 from briarpond.routes import ModelName, Route, RouteKind, Tenant
 
+from ._answer_buffer import AnswerBuffer
+from ._caller_request import forwarded_headers, read_caller_request
 from ._send_state import SendPhase, SendState
 from ._state import NodeState
 from ._stopping import longest_duration_s
@@ -48,29 +45,10 @@
 CONNECT_TIMEOUT_S = 0.4
 # How long a server counts as full after it refused a request or reported a long queue.
 FULL_DURATION_S = 0.15
-# Limit of answers that are not streams, since they are kept in memory until complete. A send
-# with a larger answer counts as failed.
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-# Limit of an event of a stream, which is kept in memory until it is complete.
-MAX_EVENT_BYTES = 1024 * 1024
-# Time allowed for a request without a deadline header; the route's timeout also applies.
-DEFAULT_DEADLINE_S = 30.0
-# A longer deadline is read as this.
-MAX_DEADLINE_MS = 86_400_000
 # Sends of a stream that has begun, those included that servers turned away.
 MAX_SENDS_OF_BEGUN_STREAM = 8
 # Statuses with which a server may state that it has not executed a request.
 NOT_EXECUTED_STATUSES = frozenset({421, 429, 503})
-# Headers of the caller that are not sent to servers; some are replaced by the node's own.
-_DROPPED_REQUEST_HEADERS = HOP_BY_HOP_HEADERS | {
-    "content-length",
-    PlatformHeader.AUTHORIZATION,
-    PlatformHeader.TENANT,
-    PlatformHeader.DEADLINE_MS,
-    PlatformHeader.EXPECT_INSTANCE,
-    PlatformHeader.PRIORITY,
-    PlatformHeader.LAST_EVENT_ID,
-}
 # Headers by which an answer states where it ends.
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 # Headers of a server's answer that are not sent to the caller.
@@ -111,14 +89,6 @@
         Whether the request has ended.
     held : bool
         Whether the request waits for a server with room.
-    expires_at : float
-        Time of the deadline, or of the route's timeout if that is earlier.
-    model : ModelName
-        Model that the request names; empty if none.
-    request_size : RequestSize
-        Tokens of the prompt and expected tokens of the answer.
-    prompt_parts : tuple of PromptPart
-        Parts of the prompt.
     """
 
     def __init__(
@@ -139,14 +109,13 @@
         self.done = False
         self.held = False
         self._state = state
-        self._request = request
         self._reply = reply
         self._service = service
         self._tenant = tenant
         self._on_done = on_done
         self._report_stalled = on_stalled
-        self._request_id = request.header(PlatformHeader.REQUEST_ID)
-        self._request_key = self._request_id or f"unnamed-{id(self)}"
+        self._caller = read_caller_request(request, route.timeout_s)
+        self._request_key = self._caller.id or f"unnamed-{id(self)}"
         self._exchange: Exchange | None = None
         self._tried: list[InstanceId] = []
         # Servers that are not chosen, and those that may have run the request.
@@ -157,24 +126,15 @@
         self._possible_runs = 0
         self._failed_connects = 0
         self._status = 0
-        self._answer_body = bytearray()
-        self._kept_bytes = 0
+        self._buffer = AnswerBuffer(state.kept_bytes, route.repeatable)
         self._answer_headers: Headers = ()
         self._is_stream = False
         self._headers_forwarded = False
-        self._event_splitter = ResumableEventSplitter(route.repeatable)
         self._first_byte_at: float | None = None
         self._prompt_tokens = 0
         self._send_state = SendState(request.read_at)
         self._quarantined_part: PromptPart | None = None
         self._reason = ""
-        deadline_ms = parse_count(request.header(PlatformHeader.DEADLINE_MS), MAX_DEADLINE_MS)
-        allowed_s = DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / 1000
-        self._deadline = request.read_at + allowed_s
-        self.expires_at = request.read_at + min(allowed_s, route.timeout_s)
-        self.model = ModelName(request.header(PlatformHeader.MODEL) or "")
-        self.request_size = _parse_request_size(request)
-        self.prompt_parts = parse_prompt_parts(request.header(PlatformHeader.PROMPT_PARTS))
         reply.on_disconnect = self._on_caller_gone
 
     @property
@@ -183,7 +143,7 @@
         tenant = self._tenant
         route_priority = self.route.priority
         priority = tenant.priority if tenant and tenant.priority is not None else route_priority
-        return priority, self._request.read_at
+        return priority, self._caller.http.read_at
 
     def start(self) -> None:
         """Count the request, start its timeout and try to send it."""
@@ -192,8 +152,8 @@
         state.retry_budget(self._service).record_request(now)
         engine = state.engine(self._service)
         if engine is not None:
-            state.count_demand(self.model, engine, self.request_size, now)
-        state.clock.after(self.expires_at - now, self._on_timeout)
+            state.count_demand(self._caller.model, engine, self._caller.size, now)
+        state.clock.after(self._caller.expires_at - now, self._on_timeout)
         self.try_send()
 
     def refuse(self, reason: str, retry_after_s: float) -> None:
@@ -204,9 +164,21 @@
     @property
     def longest_duration_s(self) -> float:
         """Seconds within which a server answers the request; infinite if not known."""
-        token_counts = parse_token_counts(self._request.header(PlatformHeader.TOKEN_USAGE))
+        caller = self._caller
         engine = self._state.engine(self._service)
-        return longest_duration_s(engine, self.model, *(token_counts or (0, 0)))
+        return longest_duration_s(
+            engine, caller.model, caller.size.prompt_tokens, caller.max_answer_tokens
+        )
+
+    @property
+    def expires_at(self) -> float:
+        """Time of the deadline, or of the route's timeout if that is earlier."""
+        return self._caller.expires_at
+
+    @property
+    def model(self) -> ModelName:
+        """Model that the request names; empty if none."""
+        return self._caller.model
 
     def try_send(self) -> None:
         """Send the request to the best server, hold it until one has room, or refuse it."""
@@ -216,12 +188,12 @@
         if self.done or self._exchange is not None:
             return
         now = self._state.clock.now()
-        block = self._state.quarantine.check(self.prompt_parts, self._request_key, now)
+        block = self._state.quarantine.check(self._caller.prompt_parts, self._request_key, now)
         if block is not None:
             self._end_in_quarantine(block)
             return
         choice = self._choose(now)
-        waited_s = now - self._request.read_at
+        waited_s = now - self._caller.http.read_at
         first_event_goal_s = self.route.first_byte_goal_s or self.route.timeout_s
         if self._headers_forwarded:
             self._continue_stream(choice, now)
@@ -231,7 +203,7 @@
             choice is not None and choice.has_room,
             waited_s,
             first_event_goal_s,
-            self.expires_at - now,
+            self._caller.expires_at - now,
             first_event_goal_s,
         )
         self.held = decision.action is AdmissionAction.HOLD
@@ -248,7 +220,7 @@
         """
         now = self._state.clock.now()
         block = self._state.quarantine.check((part,), self._request_key, now)
-        if block is None or self.done or part not in self.prompt_parts:
+        if block is None or self.done or part not in self._caller.prompt_parts:
             return
         if self._exchange is None or self._send_state.phase is not SendPhase.STREAMING:
             self._end_in_quarantine(block)
@@ -283,7 +255,7 @@
             self.route,
             SendFailure.UNKNOWN,
             self._progress(),
-            self.expires_at - now,
+            self._caller.expires_at - now,
             has_retry_budget=True,
             is_suspect=self._is_suspect(now),
         )
@@ -303,7 +275,7 @@
         engine = state.engine(self._service)
         if engine is None:
             return best_server(state, self._service, tried, now, state.rng)
-        return best_group(state, engine, self.model, self.request_size, tried, now)
+        return best_group(state, engine, self._caller.model, self._caller.size, tried, now)
 
     def _continue_stream(self, choice: ServerChoice | None, now: float) -> None:
         has_room = choice is not None and choice.has_room
@@ -326,48 +298,30 @@
         self.last_progress = now
         self.first_event_seen = False
         self._send_state = SendState(now, choice.epoch)
-        self._prompt_tokens = self.request_size.prompt_tokens
+        self._prompt_tokens = self._caller.size.prompt_tokens
         state.load_tracker.record_sent(choice.instance, self._prompt_tokens)
         call = HttpCall(
             choice.address,
-            self._request.method,
-            self._request.target,
-            self._request_headers(choice.instance, now),
-            self._request.body,
+            self._caller.http.method,
+            self._caller.http.target,
+            forwarded_headers(
+                self._caller, choice.instance, self._tenant, self._buffer.last_event_id, now
+            ),
+            self._caller.http.body,
             partial(self._run_confined, self._on_head),
             partial(self._run_confined, self._on_body),
             partial(self._run_confined, self._on_end),
             partial(self._run_confined, self._on_lost),
             self._on_sent,
             # Only an id tells this request's answer from a late one to an earlier request.
-            reuse_idle=self.route.repeatable and self._request_id is not None,
-            connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, self.expires_at - now)),
+            reuse_idle=self.route.repeatable and self._caller.id is not None,
+            connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, self._caller.expires_at - now)),
             echoed_header=(
-                None if self._request_id is None else (PlatformHeader.REQUEST_ID, self._request_id)
+                None if self._caller.id is None else (PlatformHeader.REQUEST_ID, self._caller.id)
             ),
         )
         self._exchange = state.client.start(call)
 
-    def _request_headers(self, server: InstanceId, now: float) -> Headers:
-        headers = [
-            pair for pair in self._request.headers if pair[0] not in _DROPPED_REQUEST_HEADERS
-        ]
-        remaining_ms = max(1, int((self.expires_at - now) * 1000))
-        headers.append((PlatformHeader.DEADLINE_MS, str(remaining_ms)))
-        headers.append((PlatformHeader.EXPECT_INSTANCE, server))
-        if self._tenant is not None:
-            # A name may have characters beyond those of a header: its bytes in UTF-8 are sent.
-            headers.append((PlatformHeader.TENANT, self._tenant.name.encode().decode("latin-1")))
-        last_event = self._last_event()
-        if last_event is not None:
-            headers.append((PlatformHeader.LAST_EVENT_ID, last_event))
-        return tuple(headers)
-
-    def _last_event(self) -> str | None:
-        if self._event_splitter.last_event_id is not None:
-            return self._event_splitter.last_event_id.decode("latin-1")
-        return self._request.header(PlatformHeader.LAST_EVENT_ID)
-
     def _on_sent(self) -> None:
         self._sends += 1
         self._possible_runs += 1
@@ -424,16 +378,15 @@
         now = self._state.clock.now()
         if not self._is_stream:
             self.last_progress = now
-            self._answer_body += data
-            if len(self._answer_body) > MAX_ANSWER_BYTES or not self._may_keep():
+            if not self._buffer.add_to_body(data):
                 self._give_up_on_server("answer_too_large", now)
             return
         try:
-            complete_events = self._event_splitter.feed(data)
+            complete_events = self._buffer.take_events(data)
         except DamagedEventError:
             self._give_up_on_server("event_damaged", now)
             return
-        if self._event_splitter.partial_size > MAX_EVENT_BYTES or not self._may_keep():
+        if not self._buffer.may_keep_event():
             self._give_up_on_server("event_too_large", now)
             return
         if has_fields(complete_events):
@@ -448,23 +401,11 @@
         self._state.avoid(self.server, now)
         self._on_send_failed(SendFailure.UNKNOWN, reason)
 
-    def _may_keep(self) -> bool:
-        """Count what is kept of the answer; return whether there is room for it."""
-        before = self._kept_bytes
-        self._kept_bytes = len(self._answer_body) + self._event_splitter.partial_size
-        return self._state.kept_bytes.change(before, self._kept_bytes)
-
-    def _forget_kept(self) -> None:
-        """Drop what is kept of the present send's answer."""
-        self._answer_body.clear()
-        self._event_splitter.discard_partial_event()
-        self._may_keep()
-
     def _record_progress(self, now: float) -> None:
         """Note that events have arrived; bytes that complete none are no progress."""
         if self.first_event_seen and self.server is not None:
             self._state.event_gap_tracker.record_gap(
-                self.server, self.model, now - self.last_progress, now
+                self.server, self._caller.model, now - self.last_progress, now
             )
         if self._send_state.events_began_at is None:
             self._send_state.events_began_at = now
@@ -493,14 +434,14 @@
             self._reply.end()
         else:
             self._first_byte_at = self._state.clock.now()
-            self._reply.send_whole(self._status, self._answer_headers, bytes(self._answer_body))
-        self._forget_kept()
+            self._reply.send_whole(self._status, self._answer_headers, self._buffer.body)
+        self._buffer.clear()
         self._state.metrics.sends.inc({"end": "answered"})
         self._finish("answered")
 
     def _is_cut_short(self) -> bool:
         """Whether a stream that has ended in order is not complete all the same."""
-        if self._event_splitter.has_partial_event or not self._headers_forwarded:
+        if self._buffer.has_partial_event or not self._headers_forwarded:
             return True
         # A server that has resumed the stream may have nothing left to send, but then it says so.
         has_events = self._send_state.phase is SendPhase.STREAMING
@@ -530,7 +471,7 @@
         self._state.metrics.lost_sends.inc({"phase": send.phase.value, "reason": reason})
         log_event(
             "send_lost",
-            id=self._request_id,
+            id=self._caller.id,
             server=self.server,
             reason=reason,
             phase=send.phase.value,
@@ -538,7 +479,7 @@
             ms=int((now - send.began_at) * 1000),
             streaming_ms=-1 if streaming_s is None else int(streaming_s * 1000),
             server_in_flight=self._state.load_tracker.own_in_flight(self.server),
-            parts="+".join(self.prompt_parts) or "-",
+            parts="+".join(self._caller.prompt_parts) or "-",
         )
 
     def _record_crash(self, now: float) -> None:
@@ -547,7 +488,7 @@
         send = self._send_state
         if self._state.engine(self._service) is None:
             return
-        requests = (self.prompt_parts,) if send.may_have_ended_server(now) else ()
+        requests = (self._caller.prompt_parts,) if send.may_have_ended_server(now) else ()
         self._state.quarantine.record_crash(CrashKey(self.server, send.epoch), requests, now)
 
     def _record_survival(self) -> None:
@@ -556,10 +497,10 @@
         send = self._send_state
         began_at = send.began_at if send.events_began_at is None else send.events_began_at
         now = self._state.clock.now()
-        self._state.quarantine.record_survival(self.prompt_parts, began_at, now)
+        self._state.quarantine.record_survival(self._caller.prompt_parts, began_at, now)
 
     def _is_suspect(self, now: float) -> bool:
-        return self._state.quarantine.is_suspect(self.prompt_parts, now)
+        return self._state.quarantine.is_suspect(self._caller.prompt_parts, now)
 
     def _on_send_failed(self, failure: SendFailure, reason: str) -> None:
         """Repeat the request after a failed send if permitted; otherwise end it."""
@@ -571,7 +512,7 @@
             self.route,
             failure,
             self._progress(),
-            self.expires_at - now,
+            self._caller.expires_at - now,
             has_retry_budget=True,
             is_suspect=self._is_suspect(now),
         )
@@ -593,7 +534,7 @@
             self._headers_forwarded
             and failure is not SendFailure.UNKNOWN
             and self._sends < MAX_SENDS_OF_BEGUN_STREAM
-            and self.expires_at - now > MIN_REMAINING_S
+            and self._caller.expires_at - now > MIN_REMAINING_S
             and not self._is_suspect(now)
         )
 
@@ -664,7 +605,7 @@
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.cancel()
-        self._forget_kept()
+        self._buffer.clear()
         self._release_server()
 
     def _release_server(self) -> None:
@@ -692,7 +633,7 @@
         self.done = True
         self.held = False
         now = self._state.clock.now()
-        read_at = self._request.read_at
+        read_at = self._caller.http.read_at
         metrics = self._state.metrics
         metrics.requests.inc({"kind": self.route.kind.value, "status": str(self._status)})
         metrics.duration.observe({"kind": self.route.kind.value}, now - read_at)
@@ -701,7 +642,7 @@
             metrics.first_byte.observe({"kind": self.route.kind.value}, first_byte_at - read_at)
         log_event(
             "request",
-            id=self._request_id,
+            id=self._caller.id,
             route=self.route.name,
             outcome=outcome,
             status=self._status,
@@ -714,16 +655,3 @@
             config=self._state.config.version if self._state.config else 0,
         )
         self._on_done(self)
-
-
-def _parse_request_size(request: HttpRequest) -> RequestSize:
-    """Read the size of a model request from its headers; zeros if they are missing.
-
-    The expected length of the answer is the caller's hint, capped at the most tokens that
-    the request allows; without a hint it is that maximum.
-    """
-    token_counts = parse_token_counts(request.header(PlatformHeader.TOKEN_USAGE))
-    prompt_tokens, max_answer_tokens = token_counts or (0, 0)
-    hint = parse_count(request.header(PlatformHeader.LENGTH_HINT), max_answer_tokens)
-    answer_tokens = max_answer_tokens if hint is None else hint
-    return RequestSize(prompt_tokens, answer_tokens)
--- a/tests/gateway/test_server_faults.py
+++ b/tests/gateway/test_server_faults.py
@@ -6,12 +6,9 @@
 
 import pytest
 
+from briarpond.gateway._answer_buffer import MAX_ANSWER_BYTES, MAX_EVENT_BYTES
 from briarpond.gateway._kept_bytes import MAX_KEPT_BYTES
-from briarpond.gateway._run import (
-    MAX_ANSWER_BYTES,
-    MAX_EVENT_BYTES,
-    MAX_SENDS_OF_BEGUN_STREAM,
-)
+from briarpond.gateway._run import MAX_SENDS_OF_BEGUN_STREAM
 from briarpond.net import HttpRequest, LossReason
 
 from .world import STAMP_HEADER, Gateway, RecordedReply
