A topic is known only once its end was read

Cause: a read that brought records confirmed the list up to the time at which it was sent, though the store's answer says that more follow; and a list of several pages counted as known up to the request of its last page, though changes made meanwhile are in none of them.

Change: what is known advances only when a read has reached the end of the topic; what is left is read at once, without the pause. A list of several pages is known up to the request of its first.

--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -8,6 +8,7 @@
 from briarpond.net import Address, Clock, HttpClient, LossReason, run_guarded
 from briarpond.platform import (
     KeyedRecord,
+    RecordsPage,
     StoreRequest,
     decode_newest,
     decode_records,
@@ -142,6 +143,7 @@
         self._snapshot_entries: list[KeyedRecord] = []
         self._next_page_after: str | None = None
         self._snapshot_end: int | None = None
+        self._snapshot_began_at = 0.0
         self._offset = 0
         self._requested_at = 0.0
         self._failures = 0
@@ -222,6 +224,7 @@
             # The pages are not a consistent snapshot. Changes made while they are read are
             # covered by reading the records from the end that the first page reported.
             self._snapshot_end = page.ok.end_offset
+            self._snapshot_began_at = self._requested_at
         self._snapshot_entries += page.ok.entries
         self._next_page_after = page.ok.next_after
         self._on_success()
@@ -239,7 +242,7 @@
         self._begin_snapshot()
         self._offset = end_offset
         self._state = _FeedState.TAIL
-        self.known_until = self._requested_at
+        self.known_until = self._snapshot_began_at
         self._on_snapshot(entries)
 
     def _on_records(self, status: int, body: bytes) -> None:
@@ -251,12 +254,14 @@
         if records is None or records.is_error():
             self._note_failure(f"status {status}" if records is None else records.error)
             return
-        self._apply_records(records.ok.entries, records.ok.next_offset)
+        self._apply_records(records.ok)
 
-    def _apply_records(self, entries: Sequence[KeyedRecord], next_offset: int) -> None:
+    def _apply_records(self, page: RecordsPage) -> None:
         now = self._clock.now()
+        entries = page.entries
         wait_ended_empty = self._failures == 0 and not entries
-        self._offset = max(self._offset, next_offset)
+        self._offset = max(self._offset, page.next_offset)
+        has_more = self._offset < page.end_offset
         # An answer without records means that there were none up to the end of the wait;
         # one with records confirms only the time at which the read was sent.
         confirmed_until = max(
@@ -266,6 +271,10 @@
         self._on_success()
         if entries:
             self._on_entries(entries)
+        if has_more:
+            # Only the end of the topic shows what is known; the rest is read at once.
+            return
+        if entries:
             self._next_delay_s = self._pause_s()
         self.confirm(confirmed_until)
 
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -158,3 +158,52 @@
         on_answer(200, body)
         clock.advance(1.5)
         assert store.on_answer is not None
+
+
+def behind_answer(*records, first, end):
+    """Return an answer with records from `first` on of a topic that ends at `end`."""
+    body = records_answer(*records, first=first)
+    return struct.pack(">QQ", end, 0) + body[16:]
+
+
+# Guards against a part of a long read that counts as all there was: a node that followed the list
+# again used drained servers, and planned on an outdated list.
+def test_list_is_known_only_once_the_end_of_the_topic_is_read():
+    clock, store = VirtualClock(), ScriptedStore()
+    feed = TopicFeed(
+        store, clock, "keyed.servers", lambda e: None, lambda e: None, pause_s=lambda: 0.5
+    )
+    feed.start()
+    known_until = feed.known_until
+    clock.advance(5.0)
+    for number in range(3):
+        on_answer, store.on_answer = store.on_answer, None
+        on_answer(200, behind_answer((b"a", b"x"), first=number, end=4))
+        # What is left is read at once.
+        assert feed.known_until == known_until and store.on_answer is not None
+        clock.advance(0.2)
+    store.on_answer(200, behind_answer((b"a", b"x"), first=3, end=4))
+    assert feed.known_until == pytest.approx(clock.now(), abs=0.3)
+
+
+class PagedStore:
+    """Store whose snapshot has two pages, which the test answers one by one."""
+
+    def __init__(self):
+        self.on_answer = None
+
+    def call(self, request, timeout_s, on_answer, on_lost):
+        self.on_answer = on_answer
+
+
+# Guards against changes that were made while the pages were read and count as known.
+def test_list_of_several_pages_is_known_up_to_the_first():
+    clock, store = VirtualClock(), PagedStore()
+    feed = TopicFeed(store, clock, "keyed.servers", lambda e: None, lambda e: None)
+    began_at = clock.now()
+    feed.start()
+    clock.advance(1.0)
+    store.on_answer(200, b'{"entries":[{"key":"a","offset":0}],"hasMore":true,"end":1}')
+    clock.advance(1.0)
+    store.on_answer(200, b'{"entries":[{"key":"b","offset":0}],"hasMore":false,"end":9}')
+    assert feed.known_until == began_at
