A begun stream that waits for another server is bounded in connects, too

A begun stream that waits for another server counted sends, but not failed connects, towards its bound.

Evidence: the new test failed before, passes now; tests of server faults 34 passed.

--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -45,7 +45,8 @@
 CONNECT_TIMEOUT_S = 0.4
 # How long a server counts as full after it refused a request or reported a long queue.
 FULL_DURATION_S = 0.15
-# Sends of a stream that has begun, those included that servers turned away.
+# Sends of a stream that has begun, those included that servers turned away or that found no
+# connection.
 MAX_SENDS_OF_BEGUN_STREAM = 8
 # Statuses with which a server may state that it has not executed a request.
 NOT_EXECUTED_STATUSES = frozenset({421, 429, 503})
@@ -533,7 +534,7 @@
         return (
             self._headers_forwarded
             and failure is not SendFailure.UNKNOWN
-            and self._sends < MAX_SENDS_OF_BEGUN_STREAM
+            and self._sends + self._failed_connects < MAX_SENDS_OF_BEGUN_STREAM
             and self._caller.expires_at - now > MIN_REMAINING_S
             and not self._is_suspect(now)
         )
--- a/tests/gateway/test_server_faults.py
+++ b/tests/gateway/test_server_faults.py
@@ -298,3 +298,20 @@
             gateway.client.sent[answered].answer_head(503, ("x-briarpond-not-executed", "1"))
             answered += 1
     assert reply.aborted and len(gateway.client.sent) == MAX_SENDS_OF_BEGUN_STREAM
+
+
+# Guards against a begun stream that tries dead servers again and again until its timeout.
+def test_begun_stream_ends_after_a_bounded_number_of_failed_connects(tmp_path):
+    gateway = Gateway(tmp_path)
+    reply, first = silent_stream(gateway)
+    start, connects = gateway.client.start, []
+
+    def fail(call):
+        connects.append(call.address)
+        gateway.client.refusing.add(call.address)
+        return start(call)
+
+    gateway.client.start = fail
+    first.call.on_lost(LossReason.CONNECTION_LOST)
+    gateway.clock.advance(7.5)
+    assert reply.aborted and len(connects) <= MAX_SENDS_OF_BEGUN_STREAM
