Numbers of an engine's status are read with bounds (own interface)

Cause: the status took integers of any size, the digest carries 32 and 64 bits.

Change: counts and the token have bounds; a status beyond them counts as malformed.

--- a/briarpond/ports/_models.py
+++ b/briarpond/ports/_models.py
@@ -1,6 +1,7 @@
 """Messages to and from the platform services."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -14,6 +15,10 @@
 )
 from briarpond.journal import GroupSpec
 
+# A count of requests, and a fencing token, that the messages between nodes can carry.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_Generation = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class ListedState(Enum):
     """State of an instance in the instance list.
@@ -100,8 +105,8 @@
         Part of the prefix cache that is in use, 0 to 1.
     """
 
-    running: int = 0
-    queued: int = 0
+    running: _Count = 0
+    queued: _Count = 0
     cache_used: float = 0.0
 
 
@@ -129,10 +134,10 @@
     instance: InstanceId
     incarnation: Incarnation
     state: EngineState
-    generation: int = 0
+    generation: _Generation = 0
     group: GroupId | None = None
     spec: GroupSpec | None = None
-    in_flight: int = 0
+    in_flight: _Count = 0
     load: EngineLoad = EngineLoad()
 
 
