Early in a stop the expected length of a repeatable stream counts

Cause, as suspected from the classes (the longest streams lost most) and not shown by a run: in the first seconds of a stop streams were refused by the longest time that their tokens allow, though nearly all end in time; their callers have one more attempt, and may find no room.

Requests that may not be repeated still count with the most tokens.

--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -164,12 +164,16 @@
 
     @property
     def longest_duration_s(self) -> float:
-        """Seconds within which a server answers the request; infinite if not known."""
+        """Seconds within which a server answers the request; infinite if not known.
+
+        The caller's own estimate of the length counts only if the request may be repeated.
+        """
         caller = self._caller
         engine = self._state.engine(self._service)
-        return longest_duration_s(
-            engine, caller.model, caller.size.prompt_tokens, caller.max_answer_tokens
+        answer_tokens = (
+            caller.size.answer_tokens if self.route.repeatable else caller.max_answer_tokens
         )
+        return longest_duration_s(engine, caller.model, caller.size.prompt_tokens, answer_tokens)
 
     @property
     def expires_at(self) -> float:
--- a/briarpond/gateway/_stopping.py
+++ b/briarpond/gateway/_stopping.py
@@ -28,7 +28,7 @@
 
 
 def longest_duration_s(
-    engine: EngineSpec | None, model: ModelName, prompt_tokens: int, max_answer_tokens: int
+    engine: EngineSpec | None, model: ModelName, prompt_tokens: int, answer_tokens: int
 ) -> float:
     """Return a time within which a server answers a request; infinite if nothing is known.
 
@@ -38,13 +38,13 @@
         Engine of the request's service; None if it has plain servers.
     model : ModelName
         Model that the request names.
-    prompt_tokens, max_answer_tokens : int
-        Tokens of the prompt, and the most of the answer; 0 if the request does not say.
+    prompt_tokens, answer_tokens : int
+        Tokens of the prompt and of the answer; 0 if the request does not say.
     """
     spec = None if engine is None else engine.model(model)
-    if engine is None or spec is None or not max_answer_tokens:
+    if engine is None or spec is None or not answer_tokens:
         return float("inf")
-    size = RequestSize(prompt_tokens, max_answer_tokens)
+    size = RequestSize(prompt_tokens, answer_tokens)
     return DURATION_SAFETY * slot_occupancy_s(engine, spec, size)
 
 
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -57,6 +57,16 @@
     assert len(gateway.client.sent) == 1 and long.status == 503
 
 
+# Guards against streams that would end in time and are sent away early in a stop: their callers
+# have one more attempt each, and may find no room elsewhere.
+def test_stream_that_is_expected_to_be_short_is_taken_early_in_the_stop(tmp_path):
+    gateway = stopping_gateway(tmp_path, 1.0)
+    model = {"x_briarpond_model": "big", "x_briarpond_token_usage": "979,5000"}
+    gateway.send_request("/plan/x", x_briarpond_length_hint="60", **model)
+    assert len(gateway.client.sent) == 1
+    assert gateway.send_request("/plan/x", x_briarpond_length_hint="4000", **model).status == 503
+
+
 # Guards against a stream that is taken late by an estimate, at a server that is slower.
 def test_late_stream_is_taken_only_if_it_certainly_ends_in_time(tmp_path):
     gateway = stopping_gateway(tmp_path, 2.9)
