A head without an entry is closed as long as it answers

What callers saw: the store drops the entry of a head that is cut off from it after three heartbeats. The planner took the head for gone, though it answered, had its members leave, and used them for other groups. The requests on the head stalled and ended; by the rule TWO members joined other groups while their head was open or closing. Cause: a missing entry counted like an instance that does not answer. Change: the head goes on being ordered to close, with a wait, at its last address.

--- a/briarpond/placement/_closing.py
+++ b/briarpond/placement/_closing.py
@@ -20,7 +20,7 @@
     """
     head = group.head
     group.abort_requests = abort_requests
-    if head in roster.lost or head not in roster.instances:
+    if head in roster.lost:
         group.enter_stage(GroupStage.HEAD_LOST, now)
     else:
         group.enter_stage(GroupStage.CLOSING, now)
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -7,7 +7,9 @@
   group's name, epoch and member list, and only for groups that this planner formed;
 - an instance is ordered to join another group only when the head of its old group is
   known not to serve, or once the instance has confirmed that it left. An entry of the list
-  may be older than the opening of the group, so that it is no proof by itself.
+  may be older than the opening of the group, so that it is no proof by itself: an instance
+  that an earlier planner may have ordered is asked for its membership first, and a head whose
+  entry is gone goes on being asked to close as long as it answers.
 
 Epochs start with the term of the planner's lease, so that instances reject orders that
 an earlier planner sent and that arrive late.
@@ -15,7 +17,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from briarpond.fleet import Instance, MemberState
+from briarpond.fleet import Instance, Membership, MemberState
 from briarpond.ids import FabricDomain, InstanceId
 from briarpond.routes import EngineSpec, ModelName
 
@@ -35,6 +37,12 @@
 # Margin beyond the stall time after which a group with a lost head counts as broken and is
 # dropped.
 STALL_MARGIN_S = 0.4
+# Margin beyond the time that opening takes, after which an accepted order to open has taken
+# effect.
+OPENING_MARGIN_S = 0.5
+# Consecutive orders without an answer after which an instance without an entry in the list
+# counts as lost. It is not probed, since probes need an entry.
+UNLISTED_LOST_AFTER_ORDERS = 2
 # HTTP statuses of an answer to an order to leave that mean that the instance is no longer
 # in the group.
 LEFT_STATUSES = frozenset({200, 409})
@@ -98,6 +106,7 @@
         self._started_at_ms: dict[InstanceId, int] = {}
         self._leave_sent_at: dict[InstanceId, float] = {}
         self._first_listed_at = float("inf")
+        self._unanswered_count: dict[InstanceId, int] = {}
         self._list_grew_at = float("-inf")
 
     # Inputs
@@ -112,6 +121,7 @@
         for instance in self._roster.instances.values():
             self._detect_restart(instance)
             self._roster.discard_outdated_leave(instance)
+        self._roster.record_addresses()
             if instance.model is not None:
                 self._roster.last_model[instance.id] = instance.model
         adopt_listed_groups(self._roster, now)
@@ -146,11 +156,12 @@
             HTTP status of the answer; None if there was none.
         """
         if status is None:
-            self._unanswered_at[order.instance] = now
+            self._on_order_unanswered(order.instance, now)
             return
         self.clear_lost(order.instance)
         confirmed_leave = order.kind is OrderKind.LEAVE and status in LEFT_STATUSES
         if confirmed_leave:
+        self._unanswered_count.pop(order.instance, None)
             self._roster.confirmed_leaves[order.instance] = (order.group, order.epoch)
         group = self.groups.get(order.group)
         if group is None or group.epoch != order.epoch:
@@ -168,6 +179,22 @@
     def _confirms_close(self, group: PlannedGroup, order: Order, status: int) -> bool:
         """Whether an answer shows that the head of a closing group no longer serves.
 
+    def on_report(self, instance: InstanceId, membership: Membership | None) -> None:
+        """Apply the membership that an instance has reported in answer to a probe."""
+        self._roster.apply_report(instance, membership)
+
+    def instances_to_verify(self) -> tuple[InstanceId, ...]:
+        """Return the instances to ask for their membership before they may join a group."""
+        return tuple(self._roster.unverified)
+
+    def _on_order_unanswered(self, instance: InstanceId, now: float) -> None:
+        """Record that an order got no answer; give up an instance without an entry."""
+        self._unanswered_at[instance] = now
+        count = self._unanswered_count.get(instance, 0) + 1
+        self._unanswered_count[instance] = count
+        if instance not in self._roster.instances and count >= UNLISTED_LOST_AFTER_ORDERS:
+            self.mark_lost(instance, now)
+
         A late answer to an order to join or to open does not. With any other status, for
         instance while running requests finish, the order is sent again.
         """
@@ -308,23 +335,20 @@
         return []
 
     def _close_if_incomplete(self, group: PlannedGroup, now: float) -> None:
-        """Close a group with a member that is lost, restarted or draining.
+        """Close a group with a member that is lost, restarted, draining or no longer listed.
 
-        Running requests may finish only if all members still work, i.e. the sole
-        reason is draining.
+        Running requests may finish only if all members still work, i.e. the sole reason is
+        that one leaves. One whose entry is gone may be cut off from the store only.
         """
         if all(
             self._roster.usable(member) and member in group.ready_members
             for member in group.members
         ):
             return
-        only_draining = all(
-            member not in self.lost
-            and member in self._roster.instances
-            and member in group.ready_members
-            for member in group.members
+        all_work = all(
+            member not in self.lost and member in group.ready_members for member in group.members
         )
-        begin_close(self._roster, group, not only_draining, now)
+        begin_close(self._roster, group, not all_work, now)
 
     def _orders_to_join(self, group: PlannedGroup, now: float) -> list[Order]:
         """Return the orders to join; open the group once all members are ready.
@@ -372,10 +396,11 @@
     def _orders_to_close(self, group: PlannedGroup, now: float) -> list[Order]:
         """Return the order that stops the head from serving.
 
-        If an order to open got no answer yet, the head must leave the group: closing would
-        not prevent that order from being carried out afterwards.
+        A head whose entry is gone gets it as well: it may serve although it is cut off from
+        the store. If an order to open got no answer yet, the head must leave the group: closing
+        would not prevent that order from being carried out afterwards.
         """
-        if group.head in self.lost or group.head not in self._roster.instances:
+        if group.head in self.lost:
             group.enter_stage(GroupStage.HEAD_LOST, now)
             return self._orders_after_head_loss(group, now)
         kind = OrderKind.CLOSE_CUT if group.abort_requests else OrderKind.CLOSE_WAIT
@@ -473,7 +498,7 @@
             if now - group.last_order_at.get(member, -ORDER_RESEND_S) < ORDER_RESEND_S:
                 continue
             group.last_order_at[member] = now
-            address = self._roster.instances[member].address
+            address = self._roster.addresses[member]
             orders.append(
                 Order(kind, member, address, group.id, group.epoch, group.model, group.members)
             )
--- a/briarpond/placement/_roster.py
+++ b/briarpond/placement/_roster.py
@@ -5,6 +5,7 @@
 
 from briarpond.fleet import Instance, InstanceState, Membership, MemberState
 from briarpond.ids import FabricDomain, GroupId, InstanceId
+from briarpond.net import Address
 from briarpond.routes import EngineSpec, ModelName, ModelSpec
 
 from ._models import GroupStage, PlannedGroup
@@ -48,6 +49,13 @@
         When each group and epoch was released, since the list may show it for longer.
     """
 
+    addresses : dict
+        Addresses of the listed instances, and of members of groups whose entry is gone.
+    verified : set of InstanceId
+        Instances whose membership this planner knows from themselves. Entries of others may
+        be older than the last orders of an earlier planner.
+    unverified : set of InstanceId
+        Instances that could join a group if they were verified.
     def __init__(self, engine: EngineSpec) -> None:
         self.engine = engine
         self.groups: dict[GroupId, PlannedGroup] = {}
@@ -62,6 +70,27 @@
 
     def usable(self, instance_id: InstanceId) -> bool:
         """Whether an instance is listed, answers and is not draining."""
+        self.addresses: dict[InstanceId, Address] = {}
+        self.verified: set[InstanceId] = set()
+        self.unverified: set[InstanceId] = set()
+
+    def record_addresses(self) -> None:
+        """Update the addresses of the listed instances and drop those that nothing needs."""
+        members = {member for group in self.groups.values() for member in group.members}
+        kept = {each: self.addresses[each] for each in members if each in self.addresses}
+        listed = {instance.id: instance.address for instance in self.instances.values()}
+        self.addresses = kept | listed
+
+    def apply_report(self, instance_id: InstanceId, membership: Membership | None) -> None:
+        """Trust the entry of an instance if its own report shows no other membership."""
+        instance = self.instances.get(instance_id)
+        listed = None if instance is None else instance.membership
+        if membership is None or _same_group(listed, membership):
+            self.verified.add(instance_id)
+
+    def forget_report(self, instance_id: InstanceId) -> None:
+        """Discard what an instance has reported, since it has restarted."""
+        self.verified.discard(instance_id)
         instance = self.instances.get(instance_id)
         return (
             instance is not None
--- a/tests/placement/test_outdated_entries.py
+++ b/tests/placement/test_outdated_entries.py
@@ -150,3 +150,45 @@
     world.finish_requests(group.head)
     world.run(planner, 4.0, HIGH_DEMAND)
     assert world.instances[group.head].group[0] != group.id and not world.violations
+
+
+def restore_entry(world, name):
+    """Give an instance a path to the store again."""
+    simulated = world.instances[name]
+    simulated.cut_from_list = False
+    simulated.unlisted = False
+
+
+def clear_domain(world, group):
+    """Remove all instances of a group's domain but its members, so that they are wanted."""
+    domain = world.instances[group.head].domain
+    for name, simulated in world.instances.items():
+        if simulated.domain == domain and name not in group.members:
+            world.kill(name)
+
+
+# Guards against members that are taken from a head which serves although the store has dropped its
+# entry: their requests stall, and the members join other groups meanwhile.
+@pytest.mark.parametrize("drained_first", [True, False])
+def test_head_without_an_entry_finishes_its_requests_before_its_members_are_used(drained_first):
+    world, planner, group = world_with_outdated_head()
+    if drained_first:
+        world.instances[group.members[1]].draining = True
+        world.run(planner, 2.0, HIGH_DEMAND)
+    world.instances[group.head].unlisted = True
+    world.run(planner, 3.0, HIGH_DEMAND)
+    assert is_serving(world, group)
+    others = [world.instances[each].group[0] for each in group.members[1:]]
+    assert others == [group.id] * len(others)
+    world.finish_requests(group.head)
+    world.run(planner, 3.0, HIGH_DEMAND)
+    assert not is_serving(world, group) and group.id not in planner.groups
+
+
+# Guards against a head without an entry that has ended, and whose members are kept for ever.
+def test_head_without_an_entry_that_answers_nothing_is_given_up():
+    world, planner, group = world_with_outdated_head()
+    world.instances[group.head].unlisted = True
+    world.instances[group.head].unreachable = True
+    world.run(planner, 8.0, HIGH_DEMAND)
+    assert group.id not in planner.groups
--- a/tests/placement/world.py
+++ b/tests/placement/world.py
@@ -37,6 +37,8 @@
     cut_from_list : bool
         Whether the list goes on to show the entry that it had, as if the instance were cut off
         from the store.
+    unlisted : bool
+        Whether the list has dropped the entry, as after a long time without a path to the store.
     highest_epoch : int
         Highest epoch of an accepted order to join; orders to join with a lower epoch are
         rejected.
@@ -56,6 +58,7 @@
         self.highest_epoch = 0
         self.busy = False
         self.cut_from_list = False
+        self.unlisted = False
 
 
 class World:
@@ -162,7 +165,7 @@
         self.listed = {
             name: self.listed[name] if s.cut_from_list else self._listed_instance(s)
             for name, s in self.instances.items()
-            if s.alive
+            if s.alive and not s.unlisted
         }
 
     def send(self, planner: Planner, order: Order) -> None:
