A close that is answered while a group opens is followed by an order to leave

Cause: an accepted order to open takes effect after the time that opening takes. Change: until the opening has certainly taken effect, only an answered order to leave releases the group, as for an order to open without an answer.

--- a/briarpond/placement/_models.py
+++ b/briarpond/placement/_models.py
@@ -135,6 +135,8 @@
     may_open_late : bool
         Whether an earlier planner may have ordered the head to open. Once the group is closed,
         the head must leave it, so that this order finds it in no group.
+    opening_until : float
+        Time until which an accepted order to open may still take effect.
     head_listed_serving : bool
         Whether the list has shown the head open or closing. Only then does an entry that shows
         it ready tell that it has closed; before, the entry may be from before it opened.
@@ -159,6 +161,7 @@
     close_answered: bool = False
     opens_unanswered: int = 0
     may_open_late: bool = False
+    opening_until: float = 0.0
     head_listed_serving: bool = False
     join_deadline: float = 0.0
     expected_join_s: float = 0.0
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -203,15 +203,15 @@
 
     def _on_closed(self, group: PlannedGroup, order: Order, now: float) -> None:
         """Release a group, unless its head could still carry out a late order to open."""
-        if self._must_leave(group) and order.kind is not OrderKind.LEAVE:
+        if self._must_leave(group, now) and order.kind is not OrderKind.LEAVE:
             group.last_order_at.clear()
             group.close_answered = True
             return
         release(self._roster, group, now)
 
-    def _must_leave(self, group: PlannedGroup) -> bool:
-        """Whether an order to open may still be carried out, which a close does not prevent."""
-        return group.opens_unanswered > 0 or group.may_open_late
+    def _must_leave(self, group: PlannedGroup, now: float) -> bool:
+        """Whether an order to open may still take effect, which a close does not prevent."""
+        return group.opens_unanswered > 0 or group.may_open_late or now < group.opening_until
 
     # Decisions
 
@@ -312,7 +312,7 @@
             and closing
             and bool(group.last_order_at)
             and group.head_listed_serving
-            and not self._must_leave(group)
+            and not self._must_leave(group, now)
         )
         if broken or closed:
             release(self._roster, group, now)
@@ -405,7 +405,7 @@
             return self._orders_after_head_loss(group, now)
         kind = OrderKind.CLOSE_CUT if group.abort_requests else OrderKind.CLOSE_WAIT
         may_wait = not group.abort_requests and not group.close_answered
-        if group.opens_unanswered or (group.may_open_late and not may_wait):
+        if group.opens_unanswered or (self._must_leave(group, now) and not may_wait):
             kind = OrderKind.LEAVE
         if not group.abort_requests and any(member in self.lost for member in group.members):
             group.abort_requests = True
@@ -483,9 +483,9 @@
             return
         if status in (200, 202):
             group.enter_stage(GroupStage.OPEN, now)
-            group.serves_from = now + (
-                self._roster.engine.group_opening_s if status == 202 else 0.0
-            )
+            opening_s = self._roster.engine.group_opening_s if status == 202 else 0.0
+            group.serves_from = now + opening_s
+            group.opening_until = group.serves_from + OPENING_MARGIN_S
         else:
             begin_close(self._roster, group, True, now)
 
--- a/tests/placement/test_outdated_entries.py
+++ b/tests/placement/test_outdated_entries.py
@@ -192,3 +192,24 @@
     world.instances[group.head].unreachable = True
     world.run(planner, 8.0, HIGH_DEMAND)
     assert group.id not in planner.groups
+
+
+# Guards against a group that is released on the answer to an order to close which arrives while
+# the group opens, and whose head opens afterwards.
+def test_close_during_the_opening_is_followed_by_an_order_to_leave():
+    world, planner = steady_world()
+    group = next(each for each in planner.groups.values() if each.model == "big")
+    planned = planner.groups[group.id]
+    world.instances[group.head].state = MemberState.READY
+    planned.enter_stage(GroupStage.OPENING, world.now)
+    planned.opens_unanswered = 1
+    planner.on_order_answer(order(world, group, OrderKind.OPEN), 202, world.now)
+    world.instances[group.members[1]].draining = True
+    world.refresh()
+    planner.update_instances(list(world.listed.values()), world.now)
+    sent = [each for each in planner.next_orders({}, world.now) if each.group == group.id]
+    assert [each.kind for each in sent] == [OrderKind.CLOSE_WAIT]
+    planner.on_order_answer(sent[0], 200, world.now)
+    assert group.id in planner.groups
+    sent = [each for each in planner.next_orders({}, world.now) if each.group == group.id]
+    assert [each.kind for each in sent] == [OrderKind.LEAVE]
