A new planner asks instances for their membership before it uses them

What callers saw: an instance that joined a group of the previous planner, and was cut off from the store just before, is listed in no group or in an earlier one. Cause: an entry of the list was trusted though it may be older than the predecessor's last orders. Change: a planner that may have a predecessor asks each instance once for its own report before it joins a group, and does not use one that reports another group than the list shows.

--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -245,6 +245,9 @@
                 self._probe(planner, instance, 0)
         for order in planner.next_orders(self._demand(now), now):
             self._send_order(planner, order)
+        for instance in planner.instances_to_verify():
+            if now - self._probed_at.get(instance, -PROBE_INTERVAL_S) >= PROBE_INTERVAL_S:
+                self._probe(planner, instance, 0)
         self._log_stages(planner)
 
     def _start_planner(self, spec: ServiceSpec, now: float) -> Planner:
@@ -259,7 +262,14 @@
         # An empty demand means only then that callers have not come yet.
         load_budget.enforced = not self._state.settings.first_start or self._state.has_served
         load_budget.record_started(self._count_joining(spec.name), now)
-        planner = Planner(self._term, engine, load_budget, bounds.stall_s, self._group_numbers)
+        planner = Planner(
+            self._term,
+            engine,
+            load_budget,
+            bounds.stall_s,
+            self._group_numbers,
+            has_predecessor=load_budget.enforced,
+        )
         self._planners[spec.name] = planner
         log_event("planner_start", term=self._term, service=spec.name)
         return planner
@@ -389,6 +399,7 @@
                 log_event("instance_back", instance=instance)
             planner.clear_lost(instance)
             if report.is_ok():
+                planner.on_report(instance, report.ok.membership)
                 self._record_pace(planner, instance, report.ok.pace)
 
         def on_lost(reason: LossReason) -> None:
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -76,6 +76,8 @@
         its head stops serving.
     group_numbers : iterator of int
         Increasing numbers that no planner of this process has used before.
+    has_predecessor : bool
+        Whether an earlier planner may have formed groups that the list does not show yet.
 
     Attributes
     ----------
@@ -94,8 +96,9 @@
         load_budget: LoadBudget,
         stall_s: float,
         group_numbers: Iterator[int],
+        has_predecessor: bool = True,
     ) -> None:
-        self._roster = Roster(engine)
+        self._roster = Roster(engine, has_predecessor)
         self._formation = Formation(self._roster, load_budget, group_numbers, term)
         self.groups = self._roster.groups
         self.lost = self._roster.lost
@@ -103,10 +106,10 @@
         self._load_budget = load_budget
         self._stall_s = stall_s
         self._unanswered_at: dict[InstanceId, float] = {}
+        self._unanswered_count: dict[InstanceId, int] = {}
         self._started_at_ms: dict[InstanceId, int] = {}
         self._leave_sent_at: dict[InstanceId, float] = {}
         self._first_listed_at = float("inf")
-        self._unanswered_count: dict[InstanceId, int] = {}
         self._list_grew_at = float("-inf")
 
     # Inputs
@@ -118,10 +121,10 @@
         if len(self._roster.instances) > previous_count:
             self._first_listed_at = min(self._first_listed_at, now)
             self._list_grew_at = now
+        self._roster.record_addresses()
         for instance in self._roster.instances.values():
             self._detect_restart(instance)
             self._roster.discard_outdated_leave(instance)
-        self._roster.record_addresses()
             if instance.model is not None:
                 self._roster.last_model[instance.id] = instance.model
         adopt_listed_groups(self._roster, now)
@@ -158,10 +161,10 @@
         if status is None:
             self._on_order_unanswered(order.instance, now)
             return
+        self._unanswered_count.pop(order.instance, None)
         self.clear_lost(order.instance)
         confirmed_leave = order.kind is OrderKind.LEAVE and status in LEFT_STATUSES
         if confirmed_leave:
-        self._unanswered_count.pop(order.instance, None)
             self._roster.confirmed_leaves[order.instance] = (order.group, order.epoch)
         group = self.groups.get(order.group)
         if group is None or group.epoch != order.epoch:
@@ -176,9 +179,6 @@
         if self._confirms_close(group, order, status):
             self._on_closed(group, order, now)
 
-    def _confirms_close(self, group: PlannedGroup, order: Order, status: int) -> bool:
-        """Whether an answer shows that the head of a closing group no longer serves.
-
     def on_report(self, instance: InstanceId, membership: Membership | None) -> None:
         """Apply the membership that an instance has reported in answer to a probe."""
         self._roster.apply_report(instance, membership)
@@ -195,6 +195,9 @@
         if instance not in self._roster.instances and count >= UNLISTED_LOST_AFTER_ORDERS:
             self.mark_lost(instance, now)
 
+    def _confirms_close(self, group: PlannedGroup, order: Order, status: int) -> bool:
+        """Whether an answer shows that the head of a closing group no longer serves.
+
         A late answer to an order to join or to open does not. With any other status, for
         instance while running requests finish, the order is sent again.
         """
@@ -275,6 +278,7 @@
         self._roster.last_model.pop(instance.id, None)
         self._roster.blocked_until.pop(instance.id, None)
         self._roster.confirmed_leaves.pop(instance.id, None)
+        self._roster.forget_report(instance.id)
         for group in self.groups.values():
             if instance.id in group.members:
                 group.ready_members.discard(instance.id)
@@ -472,6 +476,7 @@
             )
         if status in (200, 202):
             self._roster.last_model[order.instance] = order.model
+            self._roster.verified.add(order.instance)
 
     def _on_open_answer(self, group: PlannedGroup, status: int, now: float) -> None:
         """Apply the answer to an order to open.
--- a/briarpond/placement/_roster.py
+++ b/briarpond/placement/_roster.py
@@ -25,6 +25,8 @@
     ----------
     engine : EngineSpec
         Models of the service and the speed of its engines.
+    has_predecessor : bool
+        Whether an earlier planner may have formed groups that the list does not show yet.
 
     Attributes
     ----------
@@ -47,8 +49,6 @@
         list, which lags behind, still shows this membership.
     released_at : dict
         When each group and epoch was released, since the list may show it for longer.
-    """
-
     addresses : dict
         Addresses of the listed instances, and of members of groups whose entry is gone.
     verified : set of InstanceId
@@ -56,8 +56,11 @@
         be older than the last orders of an earlier planner.
     unverified : set of InstanceId
         Instances that could join a group if they were verified.
-    def __init__(self, engine: EngineSpec) -> None:
+    """
+
+    def __init__(self, engine: EngineSpec, has_predecessor: bool = True) -> None:
         self.engine = engine
+        self._has_predecessor = has_predecessor
         self.groups: dict[GroupId, PlannedGroup] = {}
         self.instances: dict[InstanceId, Instance] = {}
         self.lost: dict[InstanceId, float] = {}
@@ -67,9 +70,6 @@
         self.free_since: dict[InstanceId, float] = {}
         self.confirmed_leaves: dict[InstanceId, tuple[GroupId, int]] = {}
         self.released_at: dict[tuple[GroupId, int], float] = {}
-
-    def usable(self, instance_id: InstanceId) -> bool:
-        """Whether an instance is listed, answers and is not draining."""
         self.addresses: dict[InstanceId, Address] = {}
         self.verified: set[InstanceId] = set()
         self.unverified: set[InstanceId] = set()
@@ -91,6 +91,9 @@
     def forget_report(self, instance_id: InstanceId) -> None:
         """Discard what an instance has reported, since it has restarted."""
         self.verified.discard(instance_id)
+
+    def usable(self, instance_id: InstanceId) -> bool:
+        """Whether an instance is listed, answers and is not draining."""
         instance = self.instances.get(instance_id)
         return (
             instance is not None
@@ -101,8 +104,10 @@
     def free_by_domain(self, now: float) -> dict[FabricDomain, list[Instance]]:
         """Return the instances that may be ordered to join a group, by fabric domain.
 
-        Those that are staging a model are included.
+        Those that are staging a model are included. The others that could join but for their
+        membership, which only the list tells, become `unverified`.
         """
+        self.unverified = set()
         taken = {
             member
             for group in self.groups.values()
@@ -121,7 +126,11 @@
                 continue
             if now < self.blocked_until.get(instance.id, now) or instance.id in self.slow:
                 continue
-            if self._can_join_another_group(instance, head_states):
+            if not self._can_join_another_group(instance, head_states):
+                continue
+            if self._has_predecessor and instance.id not in self.verified:
+                self.unverified.add(instance.id)
+            else:
                 self.blocked_until.pop(instance.id, None)
                 free[instance.domain].append(instance)
         return free
@@ -251,3 +260,10 @@
             if head is not None and head.domain == domain:
                 members[group.model] += len(group.members)
         return members
+
+
+def _same_group(listed: Membership | None, reported: Membership | None) -> bool:
+    """Whether two memberships are of the same group and epoch."""
+    if listed is None or reported is None:
+        return listed is reported
+    return (listed.group, listed.epoch) == (reported.group, reported.epoch)
--- a/tests/placement/test_outdated_entries.py
+++ b/tests/placement/test_outdated_entries.py
@@ -6,6 +6,7 @@
 
 import itertools
 
+import msgspec
 import pytest
 
 from briarpond.fleet import MemberState
@@ -213,3 +214,25 @@
     assert group.id in planner.groups
     sent = [each for each in planner.next_orders({}, world.now) if each.group == group.id]
     assert [each.kind for each in sent] == [OrderKind.LEAVE]
+
+
+# Guards against a new planner that takes the members of its predecessor's open group, since the
+# list shows them, or the head, in no group or in an earlier one.
+@pytest.mark.parametrize("outdated", ["head", "member"])
+def test_next_planner_asks_an_instance_for_its_membership_before_it_uses_it(outdated):
+    world, planner = steady_world()
+    group = next(each for each in planner.groups.values() if each.model == "big")
+    name = group.head if outdated == "head" else group.members[1]
+    clear_domain(world, group)
+    before = world.listed[name]
+    entry = msgspec.structs.replace(before, membership=None)
+    world.listed[name] = entry
+    world.instances[name].cut_from_list = True
+    world.instances[group.head].busy = True
+    next_planner = world.planner(7, itertools.count(1))
+    world.run(next_planner, LATE_S, HIGH_DEMAND)
+    assert not world.violations
+    restore_entry(world, name)
+    world.finish_requests(group.head)
+    world.run(next_planner, 8.0, HIGH_DEMAND)
+    assert not world.violations
--- a/tests/placement/world.py
+++ b/tests/placement/world.py
@@ -151,6 +151,8 @@
                     planner.mark_lost(name, self.now)
             for order in planner.next_orders(demand or {}, self.now):
                 self.send(planner, order)
+            for name in planner.instances_to_verify():
+                self._report(planner, self.instances[name])
 
     def advance(self, seconds: float) -> None:
         """Advance virtual time and run what was scheduled in between."""
@@ -168,6 +170,12 @@
             if s.alive and not s.unlisted
         }
 
+    def _report(self, planner: Planner, simulated: SimulatedInstance) -> None:
+        """Tell the planner the membership of an instance that can be reached."""
+        if not simulated.alive or simulated.unreachable:
+            return
+        planner.on_report(simulated.name, _membership(simulated))
+
     def send(self, planner: Planner, order: Order) -> None:
         """Deliver an order to its instance, or lose it, and answer the planner."""
         if self.rng.random() < self.lost_share:
@@ -237,10 +245,6 @@
         self.instances[name] = simulated
 
     def _listed_instance(self, simulated: SimulatedInstance) -> Instance:
-        membership = None
-        if simulated.group is not None and simulated.state is not None:
-            name, epoch, members, _ = simulated.group
-            membership = Membership(name, epoch, members.index(simulated.name), simulated.state)
         return Instance(
             id=simulated.name,
             service="pool",
@@ -252,7 +256,7 @@
             domain=simulated.domain,
             staged_models=simulated.staged,
             model=simulated.group[3] if simulated.group else None,
-            membership=membership,
+            membership=_membership(simulated),
         )
 
     def _join(self, simulated: SimulatedInstance, order: Order) -> int:
@@ -357,6 +361,13 @@
         self.schedule(STALL_S, break_head)
 
 
+def _membership(simulated: SimulatedInstance) -> Membership | None:
+    if simulated.group is None or simulated.state is None:
+        return None
+    name, epoch, members, _ = simulated.group
+    return Membership(name, epoch, members.index(simulated.name), simulated.state)
+
+
 def open_group_count(planner: Planner) -> int:
     """Return the number of groups that are open according to the planner."""
     return sum(1 for group in planner.groups.values() if group.stage is GroupStage.OPEN)
