--- a/briarpond/directory/exchange.thrift
+++ b/briarpond/directory/exchange.thrift
@@ -9,7 +9,8 @@
 struct ServerRow {
   1: required string instance,
   2: required i32 in_flight,
-  3: required i32 unread_tokens
+  3: required i32 unread_tokens,
+  4: optional i32 unwritten_tokens
 }
 
 /** Groups of a model that callers' requests would fill. */
@@ -32,7 +33,8 @@
   4: required string head,
   5: required string host,
   6: required i32 port,
-  7: optional string data_centre
+  7: optional string data_centre,
+  8: optional bool cold
 }
 
 /** A plain server that takes requests. */
@@ -42,7 +44,8 @@
   3: required string host,
   4: required i32 port,
   5: required string data_centre,
-  6: required i32 slots
+  6: required i32 slots,
+  7: optional bool cold
 }
 
 /**
@@ -67,10 +70,14 @@
   5: required string planner
 }
 
-/** Version of the configuration, and how long ago it was certainly the newest. */
+/**
+ * Version of the configuration, up to which offset the sender has applied the operator's records,
+ * and how long ago these were certainly the newest.
+ */
 struct ConfigStatus {
   1: required i64 version,
-  2: required i32 age_ms
+  2: required i32 age_ms,
+  3: optional i64 position
 }
 
 /** What a node says of itself, or a relay of a node that it no longer hears (`gone`). */
@@ -137,7 +144,8 @@
   6: required i64 plan_sequence,
   7: required i64 config_version,
   8: required Load load,
-  9: optional Evidence evidence
+  9: optional Evidence evidence,
+  10: optional i64 config_position
 }
 
 /** Answer to a pull; `clock_ms` is repeated from it. */
@@ -164,12 +172,18 @@
   4: optional PlanStatus plan,
   5: optional PlanDelta delta,
   6: required bool relayed,
-  7: optional Evidence evidence
+  7: optional Evidence evidence,
+  8: optional i64 config_position
 }
 
-/** The operator's configuration as it stands in the store, and how old the copy may be. */
+/**
+ * The operator's configuration as it stands in the store, the data centres that are evacuated as
+ * of `position`, and how old the copy may be.
+ */
 struct ConfigRecord {
   1: required i64 offset,
   2: required i32 age_ms,
-  3: required binary value
+  3: required binary value,
+  4: optional i64 position,
+  5: optional list<string> evacuated
 }
--- a/briarpond/directory/gen/exchange/ttypes.py
+++ b/briarpond/directory/gen/exchange/ttypes.py
@@ -23,14 +23,16 @@
      - instance
      - in_flight
      - unread_tokens
+     - unwritten_tokens
 
     """
 
 
-    def __init__(self, instance=None, in_flight=None, unread_tokens=None,):
+    def __init__(self, instance=None, in_flight=None, unread_tokens=None, unwritten_tokens=None,):
         self.instance = instance
         self.in_flight = in_flight
         self.unread_tokens = unread_tokens
+        self.unwritten_tokens = unwritten_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -56,6 +58,11 @@
                     self.unread_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.unwritten_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -78,6 +85,10 @@
             oprot.writeFieldBegin('unread_tokens', TType.I32, 3)
             oprot.writeI32(self.unread_tokens)
             oprot.writeFieldEnd()
+        if self.unwritten_tokens is not None:
+            oprot.writeFieldBegin('unwritten_tokens', TType.I32, 4)
+            oprot.writeI32(self.unwritten_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -280,11 +291,12 @@
      - host
      - port
      - data_centre
+     - cold
 
     """
 
 
-    def __init__(self, group=None, epoch=None, model=None, head=None, host=None, port=None, data_centre=None,):
+    def __init__(self, group=None, epoch=None, model=None, head=None, host=None, port=None, data_centre=None, cold=None,):
         self.group = group
         self.epoch = epoch
         self.model = model
@@ -292,6 +304,7 @@
         self.host = host
         self.port = port
         self.data_centre = data_centre
+        self.cold = cold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -337,6 +350,11 @@
                     self.data_centre = iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.cold = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -375,6 +393,10 @@
             oprot.writeFieldBegin('data_centre', TType.STRING, 7)
             oprot.writeString(self.data_centre)
             oprot.writeFieldEnd()
+        if self.cold is not None:
+            oprot.writeFieldBegin('cold', TType.BOOL, 8)
+            oprot.writeBool(self.cold)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -416,17 +438,19 @@
      - port
      - data_centre
      - slots
+     - cold
 
     """
 
 
-    def __init__(self, instance=None, service_name=None, host=None, port=None, data_centre=None, slots=None,):
+    def __init__(self, instance=None, service_name=None, host=None, port=None, data_centre=None, slots=None, cold=None,):
         self.instance = instance
         self.service_name = service_name
         self.host = host
         self.port = port
         self.data_centre = data_centre
         self.slots = slots
+        self.cold = cold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -467,6 +491,11 @@
                     self.slots = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.cold = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -501,6 +530,10 @@
             oprot.writeFieldBegin('slots', TType.I32, 6)
             oprot.writeI32(self.slots)
             oprot.writeFieldEnd()
+        if self.cold is not None:
+            oprot.writeFieldBegin('cold', TType.BOOL, 7)
+            oprot.writeBool(self.cold)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -797,18 +830,21 @@
 
 class ConfigStatus(object):
     """
-    Version of the configuration, and how long ago it was certainly the newest.
+    Version of the configuration, up to which offset the sender has applied the operator's records,
+    and how long ago these were certainly the newest.
 
     Attributes:
      - version
      - age_ms
+     - position
 
     """
 
 
-    def __init__(self, version=None, age_ms=None,):
+    def __init__(self, version=None, age_ms=None, position=None,):
         self.version = version
         self.age_ms = age_ms
+        self.position = position
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -829,6 +865,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.position = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -847,6 +888,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 2)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I64, 3)
+            oprot.writeI64(self.position)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1599,11 +1644,12 @@
      - config_version
      - load
      - evidence
+     - config_position
 
     """
 
 
-    def __init__(self, sender=None, clock_ms=None, table=None, cursor=None, plan_term=None, plan_sequence=None, config_version=None, load=None, evidence=None,):
+    def __init__(self, sender=None, clock_ms=None, table=None, cursor=None, plan_term=None, plan_sequence=None, config_version=None, load=None, evidence=None, config_position=None,):
         self.sender = sender
         self.clock_ms = clock_ms
         self.table = table
@@ -1613,6 +1659,7 @@
         self.config_version = config_version
         self.load = load
         self.evidence = evidence
+        self.config_position = config_position
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1671,6 +1718,11 @@
                     self.evidence.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.config_position = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1717,6 +1769,10 @@
             oprot.writeFieldBegin('evidence', TType.STRUCT, 9)
             self.evidence.write(oprot)
             oprot.writeFieldEnd()
+        if self.config_position is not None:
+            oprot.writeFieldBegin('config_position', TType.I64, 10)
+            oprot.writeI64(self.config_position)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1981,11 +2037,12 @@
      - delta
      - relayed
      - evidence
+     - config_position
 
     """
 
 
-    def __init__(self, sender=None, stalled=None, config_version=None, plan=None, delta=None, relayed=None, evidence=None,):
+    def __init__(self, sender=None, stalled=None, config_version=None, plan=None, delta=None, relayed=None, evidence=None, config_position=None,):
         self.sender = sender
         self.stalled = stalled
         self.config_version = config_version
@@ -1993,6 +2050,7 @@
         self.delta = delta
         self.relayed = relayed
         self.evidence = evidence
+        self.config_position = config_position
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2047,6 +2105,11 @@
                     self.evidence.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.config_position = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2088,6 +2151,10 @@
             oprot.writeFieldBegin('evidence', TType.STRUCT, 7)
             self.evidence.write(oprot)
             oprot.writeFieldEnd()
+        if self.config_position is not None:
+            oprot.writeFieldBegin('config_position', TType.I64, 8)
+            oprot.writeI64(self.config_position)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2116,20 +2183,25 @@
 
 class ConfigRecord(object):
     """
-    The operator's configuration as it stands in the store, and how old the copy may be.
+    The operator's configuration as it stands in the store, the data centres that are evacuated as
+    of `position`, and how old the copy may be.
 
     Attributes:
      - offset
      - age_ms
      - value
+     - position
+     - evacuated
 
     """
 
 
-    def __init__(self, offset=None, age_ms=None, value=None,):
+    def __init__(self, offset=None, age_ms=None, value=None, position=None, evacuated=None,):
         self.offset = offset
         self.age_ms = age_ms
         self.value = value
+        self.position = position
+        self.evacuated = evacuated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2155,6 +2227,21 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.position = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.evacuated = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readString()
+                        self.evacuated.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2177,6 +2264,17 @@
             oprot.writeFieldBegin('value', TType.STRING, 3)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I64, 4)
+            oprot.writeI64(self.position)
+            oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated))
+            for iter97 in self.evacuated:
+                oprot.writeString(iter97)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2205,6 +2303,7 @@
     (1, TType.STRING, 'instance', None, None, ),  # 1
     (2, TType.I32, 'in_flight', None, None, ),  # 2
     (3, TType.I32, 'unread_tokens', None, None, ),  # 3
+    (4, TType.I32, 'unwritten_tokens', None, None, ),  # 4
 )
 all_structs.append(DemandRow)
 DemandRow.thrift_spec = (
@@ -2228,6 +2327,7 @@
     (5, TType.STRING, 'host', None, None, ),  # 5
     (6, TType.I32, 'port', None, None, ),  # 6
     (7, TType.STRING, 'data_centre', None, None, ),  # 7
+    (8, TType.BOOL, 'cold', None, None, ),  # 8
 )
 all_structs.append(PlainRow)
 PlainRow.thrift_spec = (
@@ -2238,6 +2338,7 @@
     (4, TType.I32, 'port', None, None, ),  # 4
     (5, TType.STRING, 'data_centre', None, None, ),  # 5
     (6, TType.I32, 'slots', None, None, ),  # 6
+    (7, TType.BOOL, 'cold', None, None, ),  # 7
 )
 all_structs.append(PlanDelta)
 PlanDelta.thrift_spec = (
@@ -2263,6 +2364,7 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.I64, 'position', None, None, ),  # 3
 )
 all_structs.append(MemberRow)
 MemberRow.thrift_spec = (
@@ -2330,6 +2432,7 @@
     (7, TType.I64, 'config_version', None, None, ),  # 7
     (8, TType.STRUCT, 'load', [Load, None], None, ),  # 8
     (9, TType.STRUCT, 'evidence', [Evidence, None], None, ),  # 9
+    (10, TType.I64, 'config_position', None, None, ),  # 10
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
@@ -2357,6 +2460,7 @@
     (5, TType.STRUCT, 'delta', [PlanDelta, None], None, ),  # 5
     (6, TType.BOOL, 'relayed', None, None, ),  # 6
     (7, TType.STRUCT, 'evidence', [Evidence, None], None, ),  # 7
+    (8, TType.I64, 'config_position', None, None, ),  # 8
 )
 all_structs.append(ConfigRecord)
 ConfigRecord.thrift_spec = (
@@ -2364,6 +2468,8 @@
     (1, TType.I64, 'offset', None, None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.I64, 'position', None, None, ),  # 4
+    (5, TType.LIST, 'evacuated', (TType.STRING, None, False), None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
