Messages between nodes carry the position in the operator's records

Cause: an evacuation is a record of its own and changes no version of the configuration, so nodes cannot tell by the version which of them is behind.

Change: pulls, notices and the status of the configuration carry the offset up to which the sender has applied the operator's records, and the record of the configuration also carries the evacuated data centres as of it. A message without a position reports the version only, as before.

--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -85,7 +85,13 @@
 def encode_config_record(record: ConfigRecord) -> bytes:
     """Return the bytes with which a node passes on the record of the configuration."""
     buffer = TMemoryBuffer()
-    wire = ttypes.ConfigRecord(record.offset, age_to_ms(record.age_s), record.value)
+    wire = ttypes.ConfigRecord(
+        record.offset,
+        age_to_ms(record.age_s),
+        record.value,
+        record.position,
+        None if record.position is None else sorted(record.evacuated),
+    )
     wire.write(TCompactProtocolAccelerated(buffer))
     return buffer.getvalue()
 
@@ -96,7 +102,15 @@
     try:
         wire.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
         wire.validate()
-        return Ok(ConfigRecord(wire.offset, age_from_ms(wire.age_ms), wire.value))
+        return Ok(
+            ConfigRecord(
+                wire.offset,
+                age_from_ms(wire.age_ms),
+                wire.value,
+                wire.position,
+                frozenset(DataCentre(each) for each in wire.evacuated or ()),
+            )
+        )
     except _MALFORMED as exc:
         return Error(repr(exc))
 
@@ -131,6 +145,7 @@
         config_version=pull.config_version,
         load=_load_to_wire(pull.load),
         evidence=evidence_to_wire(pull.evidence),
+        config_position=pull.config_position,
     )
 
 
@@ -144,11 +159,11 @@
         config_version=wire.config_version,
         load=_load_from_wire(wire.load),
         evidence=evidence_from_wire(wire.evidence),
+        config_position=wire.config_position,
     )
 
 
 def _answer_to_wire(answer: Answer) -> ttypes.Answer:
-    config = answer.config
     return ttypes.Answer(
         sender=_member_to_wire(answer.sender),
         clock_ms=answer.clock_ms,
@@ -160,15 +175,12 @@
         load=None if answer.load is None else _load_to_wire(answer.load),
         plan=None if answer.plan is None else _status_to_wire(answer.plan),
         delta=None if answer.delta is None else _delta_to_wire(answer.delta),
-        config=(
-            None if config is None else ttypes.ConfigStatus(config.version, age_to_ms(config.age_s))
-        ),
+        config=None if answer.config is None else _config_to_wire(answer.config),
         evidence=evidence_to_wire(answer.evidence),
     )
 
 
 def _answer_from_wire(wire: ttypes.Answer) -> Answer:
-    config = wire.config
     return Answer(
         sender=_member_from_wire(wire.sender),
         clock_ms=wire.clock_ms,
@@ -180,7 +192,7 @@
         load=None if wire.load is None else _load_from_wire(wire.load),
         plan=None if wire.plan is None else _status_from_wire(wire.plan),
         delta=None if wire.delta is None else _delta_from_wire(wire.delta),
-        config=None if config is None else ConfigStatus(config.version, age_from_ms(config.age_ms)),
+        config=None if wire.config is None else _config_from_wire(wire.config),
         evidence=evidence_from_wire(wire.evidence),
     )
 
@@ -194,6 +206,7 @@
         delta=None if notice.delta is None else _delta_to_wire(notice.delta),
         relayed=notice.relayed,
         evidence=evidence_to_wire(notice.evidence),
+        config_position=notice.config_position,
     )
 
 
@@ -206,6 +219,7 @@
         delta=None if wire.delta is None else _delta_from_wire(wire.delta),
         relayed=wire.relayed,
         evidence=evidence_from_wire(wire.evidence),
+        config_position=wire.config_position,
     )
 
 
@@ -283,6 +297,14 @@
     )
 
 
+def _config_to_wire(status: ConfigStatus) -> ttypes.ConfigStatus:
+    return ttypes.ConfigStatus(status.version, age_to_ms(status.age_s), status.position)
+
+
+def _config_from_wire(wire: ttypes.ConfigStatus) -> ConfigStatus:
+    return ConfigStatus(wire.version, age_from_ms(wire.age_ms), wire.position)
+
+
 def _delta_to_wire(delta: PlanDelta) -> ttypes.PlanDelta:
     return ttypes.PlanDelta(
         term=delta.version.term,
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -209,10 +209,14 @@
         Version of the configuration.
     age_s : float
         Seconds since it was certainly the newest.
+    position : int or None
+        Offset up to which the sender has applied the operator's records; None if it is not
+        known.
     """
 
     version: int
     age_s: float
+    position: int | None = None
 
 
 class ConfigRecord(msgspec.Struct, frozen=True):
@@ -226,11 +230,17 @@
         Seconds since it was certainly the newest.
     value : bytes
         Value of the record, compressed while it is under way.
+    position : int or None
+        Offset up to which the operator's records are contained; None if it is not known.
+    evacuated : frozenset of DataCentre
+        Data centres that are evacuated as of `position`.
     """
 
     offset: int
     age_s: float
     value: bytes
+    position: int | None = None
+    evacuated: frozenset[DataCentre] = frozenset()
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -293,6 +303,9 @@
         The sender's own requests in flight and demand.
     evidence : Evidence or None
         What the sender knows of prompt parts that end servers; None if nothing is new.
+    config_position : int or None
+        Offset up to which the sender has applied the operator's records; None if it is not
+        known.
     """
 
     sender: Member
@@ -303,6 +316,7 @@
     config_version: int
     load: Load
     evidence: Evidence | None = None
+    config_position: int | None = None
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -371,6 +385,8 @@
         Whether a relay has passed the notice on; it is not passed on again.
     evidence : Evidence or None
         Prompt parts that the sender has just put in quarantine.
+    config_position : int or None
+        As in a pull.
     """
 
     sender: Member
@@ -380,3 +396,4 @@
     delta: PlanDelta | None = None
     relayed: bool = False
     evidence: Evidence | None = None
+    config_position: int | None = None
--- a/briarpond/directory/_sync.py
+++ b/briarpond/directory/_sync.py
@@ -75,6 +75,9 @@
         Takes the status of another node's configuration and the time at which it was true.
     on_config_version : callable
         Takes the version of another node's configuration, and the host of that node.
+    on_config_position : callable
+        Takes the offset up to which another node has applied the operator's records, and the
+        host of that node. Called after `on_config_version`, before `on_config`.
     on_load : callable
         Takes the name of a source and the load that it reported, which replaces the
         previous one of the same source; an empty load means that it is outdated.
@@ -103,6 +106,7 @@
     evidence: Callable[[float], Evidence | None] = lambda now: None
     on_evidence: Callable[[Evidence, float], None] = lambda evidence, now: None
     on_pause: Callable[[float], None] = lambda now: None
+    on_config_position: Callable[[int, str], None] = lambda position, host: None
 
 
 class _Cursor(msgspec.Struct):
@@ -197,6 +201,7 @@
             0 if config is None else config.version,
             load,
             self._callbacks.evidence(now),
+            None if config is None else config.position,
         )
         return Outgoing(host, pull)
 
@@ -210,8 +215,7 @@
         self._learn_evidence(pull.evidence, now)
         if sender.data_centre == own.data_centre:
             self._loads.set_node(sender.node, pull.load, now)
-        if pull.config_version:
-            self._callbacks.on_config_version(pull.config_version, sender.caller_address.host)
+        self._learn_config(pull.config_version, pull.config_position, sender.caller_address.host)
         cursor = pull.cursor if pull.table == own.incarnation else 0
         members, position, more = self.members.changes_since(cursor, MAX_MEMBERS_PER_ANSWER)
         answer = Answer(
@@ -252,7 +256,7 @@
         self._learn_load(answer, pending.load, now)
         self._learn_plan(answer.plan, answer.delta, pending.sent_at)
         if answer.config is not None:
-            self._callbacks.on_config_version(answer.config.version, host)
+            self._learn_config(answer.config.version, answer.config.position, host)
             self._callbacks.on_config(answer.config, pending.sent_at - answer.config.age_s)
         self._report(appeared, [], now)
         return [self._pull(host, now)] if answer.more else []
@@ -261,6 +265,12 @@
         if evidence is not None:
             self._callbacks.on_evidence(evidence, now)
 
+    def _learn_config(self, version: int, position: int | None, host: str) -> None:
+        if version:
+            self._callbacks.on_config_version(version, host)
+        if position is not None:
+            self._callbacks.on_config_position(position, host)
+
     def _learn_ages(self, answer: Answer, sent_at: float) -> None:
         own = self.members.own
         for data_centre, age_s in answer.ages_s.items():
@@ -333,10 +343,9 @@
     def on_notice(self, notice: Notice, now: float) -> list[Outgoing]:
         """Take over a notice; return the notices with which a relay passes it on."""
         self._hear(notice.sender, now)
-        if notice.config_version:
-            self._callbacks.on_config_version(
-                notice.config_version, notice.sender.caller_address.host
-            )
+        self._learn_config(
+            notice.config_version, notice.config_position, notice.sender.caller_address.host
+        )
         known = self.plan_log.version
         if notice.delta is not None:
             self.plan_log.apply(notice.delta)
@@ -367,6 +376,7 @@
             sender=own,
             config_version=0 if config is None else config.version,
             relayed=True,
+            config_position=None if config is None else config.position,
         )
         return self._notices_to(hosts, relayed)
 
@@ -385,6 +395,7 @@
             None if delta is None else self._callbacks.plan_status(now),
             delta,
             evidence=evidence,
+            config_position=None if config is None else config.position,
         )
 
     def _notices_to(self, hosts: Iterable[str], notice: Notice) -> list[Outgoing]:
