The planner forms no groups in evacuated data centres

Cause: while a data centre is evacuated its groups serve nobody, but they counted as supply, so that spare servers elsewhere stayed idle until the data centre was lost.

Change: `Planner.set_evacuated` takes the set. Servers there join no group and stage no model, groups there are no supply, and joins that have begun there get no further orders: they wait for the end of the evacuation or for their deadline. Open groups stay open without orders, and a group that loses a member is closed as before.

--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -18,7 +18,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 from briarpond.fleet import Instance, Membership, MemberState
-from briarpond.ids import FabricDomain, InstanceId
+from briarpond.ids import DataCentre, FabricDomain, InstanceId
 from briarpond.routes import EngineSpec, ModelName
 
 from ._adoption import JOIN_OVERDUE_MARGIN_S, adopt_listed_groups
@@ -131,6 +131,14 @@
         for group in list(self.groups.values()):
             self._apply_memberships(group, now)
 
+    def set_evacuated(self, evacuated: frozenset[DataCentre]) -> None:
+        """Record which data centres are evacuated.
+
+        No group is formed and no model is staged there, and groups there do not count as
+        supply. They stay open, so that they serve again when the order is cancelled.
+        """
+        self._roster.evacuated = evacuated
+
     def advance_term(self, term: int) -> None:
         """Use a new term for the epochs of later groups, after the lease was renewed."""
         self._formation.term = max(self._formation.term, term)
@@ -358,7 +366,8 @@
         """Return the orders to join; open the group once all members are ready.
 
         A staging group is removed instead of opened. A group is abandoned when a member
-        becomes unusable or the deadline has passed.
+        becomes unusable or the deadline has passed. In an evacuated data centre nothing is
+        ordered.
         """
         spec = self._roster.engine.model(group.model)
         infeasible = spec is None or not all(
@@ -372,8 +381,13 @@
             if group.stage is GroupStage.STAGING:
                 release(self._roster, group, now)
                 return []
+            if self._roster.is_evacuated(group):
+                return []
             group.enter_stage(GroupStage.OPENING, now)
             return self._orders_to_open(group, now)
+        if self._roster.is_evacuated(group):
+            # Loads that have begun go on and count; no other is asked for.
+            return []
         not_ready = tuple(
             member
             for member in group.members
--- a/briarpond/placement/_roster.py
+++ b/briarpond/placement/_roster.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 
 from briarpond.fleet import Instance, InstanceState, Membership, MemberState
-from briarpond.ids import FabricDomain, GroupId, InstanceId
+from briarpond.ids import DataCentre, FabricDomain, GroupId, InstanceId
 from briarpond.net import Address
 from briarpond.routes import EngineSpec, ModelName, ModelSpec
 
@@ -56,6 +56,8 @@
         be older than the last orders of an earlier planner.
     unverified : set of InstanceId
         Instances that could join a group if they were verified.
+    evacuated : frozenset of DataCentre
+        Data centres whose servers get no requests, so that groups there are no supply.
     """
 
     def __init__(self, engine: EngineSpec, has_predecessor: bool = True) -> None:
@@ -73,6 +75,7 @@
         self.addresses: dict[InstanceId, Address] = {}
         self.verified: set[InstanceId] = set()
         self.unverified: set[InstanceId] = set()
+        self.evacuated: frozenset[DataCentre] = frozenset()
 
     def record_addresses(self) -> None:
         """Update the addresses of the listed instances and drop those that nothing needs."""
@@ -101,11 +104,17 @@
             and instance_id not in self.lost
         )
 
+    def is_evacuated(self, group: PlannedGroup) -> bool:
+        """Whether the data centre of a group, in which all its members are, is evacuated."""
+        members = [self.instances.get(member) for member in group.members]
+        return any(each is not None and each.data_centre in self.evacuated for each in members)
+
     def free_by_domain(self, now: float) -> dict[FabricDomain, list[Instance]]:
         """Return the instances that may be ordered to join a group, by fabric domain.
 
-        Those that are staging a model are included. The others that could join but for their
-        membership, which only the list tells, become `unverified`.
+        Those that are staging a model are included, those of evacuated data centres are not. The
+        others that could join but for their membership, which only the list tells, become
+        `unverified`.
         """
         self.unverified = set()
         taken = {
@@ -124,6 +133,8 @@
         for instance in self.instances.values():
             if instance.id in taken or not self.usable(instance.id):
                 continue
+            if instance.data_centre in self.evacuated:
+                continue
             if now < self.blocked_until.get(instance.id, now) or instance.id in self.slow:
                 continue
             if not self._can_join_another_group(instance, head_states):
@@ -206,6 +217,8 @@
     def supply_ratio(self, spec: ModelSpec, demand: Mapping[ModelName, float]) -> float:
         """Return the ratio of open and forming groups of a model to groups wanted.
 
+        Groups in evacuated data centres do not count.
+
         Parameters
         ----------
         demand : mapping
@@ -217,6 +230,7 @@
             for group in self.groups.values()
             if group.model == spec.name
             and group.stage in (GroupStage.JOINING, GroupStage.OPENING, GroupStage.OPEN)
+            and not self.is_evacuated(group)
         )
         return count / max(demand.get(spec.name, 0.0) or self._groups_by_share(spec), 0.1)
 
--- a/tests/placement/world.py
+++ b/tests/placement/world.py
@@ -88,6 +88,8 @@
         Instance and group of each answered order to leave.
     listed : dict
         Instance list as of the last `refresh`.
+    data_centres : dict
+        Data centre of each fabric domain; those without an entry are in "a".
     cut_next_head_in : MemberState or None
         State in which the next head of a group of several is cut from the list; None for none.
     """
@@ -115,6 +117,7 @@
         self.loads: list[float] = []
         self.leave_answers: list[tuple[str, str]] = []
         self.listed: dict[str, Instance] = {}
+        self.data_centres: dict[str, str] = {}
         self.cut_next_head_in: MemberState | None = None
         self._events: list = []
         self._event_order = itertools.count()
@@ -249,7 +252,7 @@
             id=simulated.name,
             service="pool",
             address=Address("10.0.0.1", 80),
-            data_centre="a",
+            data_centre=self.data_centres.get(simulated.domain, "a"),
             state=InstanceState.DRAINING if simulated.draining else InstanceState.READY,
             slots=9,
             started_at_ms=simulated.start_count,
