The gateway evacuates data centres by the operator's records

Cause: the operator needs to take all requests away from a data centre within 5 s, while its servers go on. The order has to survive a compacted log, outdated reads, restarts, and nodes that the store rejects.

Change: `ConfigKeeper` keeps the position in the operator's records and the evacuated data centres as of it, ignores what is older, and exchanges both with other nodes. No group or plain server of such a data centre is chosen or published, and held requests are decided anew when the set changes. Records read from the store are numbered by the offset that was asked for: after another node's record had moved the feed on, they were taken for later ones.

--- a/briarpond/gateway/_config_exchange.py
+++ b/briarpond/gateway/_config_exchange.py
@@ -3,7 +3,10 @@
 import zlib
 from collections.abc import Callable
 
+import msgspec
+
 from briarpond.directory import ConfigRecord, decode_config_record, encode_config_record
+from briarpond.ids import DataCentre
 from briarpond.logs import log_event, log_warning
 from briarpond.net import (
     Address,
@@ -69,7 +72,10 @@
         self._offset = 0
         self._compressed: bytes | None = None
         self.is_fetching = False
+        self._position: int | None = None
+        self._evacuated: frozenset[DataCentre] = frozenset()
         self._wanted_version = 0
+        self._wanted_position = 0
         self._wanted_since = float("-inf")
 
     def set_record(self, offset: int, value: bytes) -> None:
@@ -77,19 +83,25 @@
         self._offset = offset
         self._compressed = zlib.compress(value, COMPRESSION_LEVEL)
 
+    def set_position(self, position: int, evacuated: frozenset[DataCentre]) -> None:
+        """Serve this position, and the data centres that are evacuated as of it, from now on."""
+        self._position = position
+        self._evacuated = evacuated
+
     def answer(self, request: HttpRequest, reply: HttpReply) -> None:
         """Answer another node's request for the record."""
         age = self._age(self._clock.now())
         if request.target != CONFIG_PATH or self._compressed is None or age is None:
             reply.send_whole(404, (), b"")
             return
-        record = ConfigRecord(self._offset, age, self._compressed)
+        record = ConfigRecord(self._offset, age, self._compressed, self._position, self._evacuated)
         reply.send_whole(200, (), encode_config_record(record))
 
-    def expect(self, version: int) -> None:
-        """Record that another node has a version."""
-        if version > self._wanted_version:
-            self._wanted_version = version
+    def expect(self, version: int, position: int = 0) -> None:
+        """Record that another node has a version, or has applied records up to a position."""
+        if version > self._wanted_version or position > self._wanted_position:
+            self._wanted_version = max(self._wanted_version, version)
+            self._wanted_position = max(self._wanted_position, position)
             self._wanted_since = self._clock.now()
 
     def fetch(self, version: int, host: str) -> None:
@@ -132,7 +144,7 @@
             return
         log_event("config_fetched", offset=record.ok.offset, bytes=len(body))
         newest_at = requested_at - record.ok.age_s
-        self._on_record(ConfigRecord(record.ok.offset, record.ok.age_s, value), newest_at)
+        self._on_record(msgspec.structs.replace(record.ok, value=value), newest_at)
 
     def _on_failure(self, reason: LossReason) -> None:
         self.is_fetching = False
--- a/briarpond/gateway/_config_keeper.py
+++ b/briarpond/gateway/_config_keeper.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable, Sequence
 
 from briarpond.directory import ConfigRecord, ConfigStatus
+from briarpond.ids import DataCentre
 from briarpond.logs import log_event, log_warning
 from briarpond.net import HttpReply, HttpRequest
 from briarpond.platform import CONFIG_KEY, CONFIG_TOPIC, KeyedRecord, decode_configuration
 from briarpond.routes import GatewayConfiguration, RouteTable
 
 from ._config_exchange import ConfigExchange
+from ._evacuation import evacuated_after, set_evacuated
 from ._state import NodeState
 from ._store_link import READ_WAIT_S, StoreClient, TopicFeed
 
@@ -43,6 +45,8 @@
     on_store_regained : callable
         Called at the first answer of the store after one or more failures, with the seconds
         since the last failure.
+    on_evacuation : callable
+        Called when the set of evacuated data centres has changed.
     """
 
     def __init__(
@@ -53,26 +57,33 @@
         may_read_store: Callable[[float], bool],
         on_applied: Callable[[GatewayConfiguration], None],
         on_store_regained: Callable[[float], None],
+        on_evacuation: Callable[[], None] = lambda: None,
     ) -> None:
         self._state = state
         self._clock = state.clock
         self._is_candidate = is_candidate
         self._may_read_store = may_read_store
         self._on_applied = on_applied
+        self._on_evacuation = on_evacuation
         self._confirmed_at = float("-inf")
         self._newest_version = 0
+        # Offset up to which the operator's records are applied here; 0 if it is not known.
+        self._position = 0
+        self._newest_position = 0
         self._feed = TopicFeed(
             store,
             state.clock,
             CONFIG_TOPIC,
-            self._on_entries,
+            self._on_list,
             self._on_entries,
             on_regained=on_store_regained,
             is_wanted=self._needs_store,
             wait_s=self._store_wait_s,
+            reached=lambda: max(self._position, self._newest_position),
         )
-        # Newer versions that other nodes have announced, by host, until they are asked for one.
-        self._announced: dict[str, int] = {}
+        # Newer versions and positions that other nodes have announced, by host, until they are
+        # asked for the record.
+        self._announced: dict[str, tuple[int, int]] = {}
         self._exchange = ConfigExchange(
             state.clock,
             state.client,
@@ -94,23 +105,29 @@
         return self._feed.age(now)
 
     def status(self, now: float) -> ConfigStatus | None:
-        """Return the version of the configuration in force and its age; None without one."""
+        """Return version, age and position of the operator's records; None without a version."""
         config = self._state.config
         age = self.age(now)
         if config is None or age is None:
             return None
-        return ConfigStatus(config.version, age)
+        return ConfigStatus(config.version, age, self._position or None)
 
     def answer_node(self, request: HttpRequest, reply: HttpReply) -> None:
         """Answer another node's request for the record of the configuration."""
         self._exchange.answer(request, reply)
 
     def on_status(self, status: ConfigStatus, newest_at: float) -> None:
-        """Use what another node knows of the configuration that is in force here, too."""
+        """Use what another node knows of the records that are in force here, too.
+
+        A status with another position confirms nothing. If its position is newer, records are
+        missing here; if it is older, that node may have read outdated answers of the store.
+        """
         now = self._clock.now()
         config = self._state.config
         if config is None or config.version != status.version:
             return
+        if status.position is not None and status.position != self._position:
+            return
         self._feed.confirm(newest_at)
         if now - newest_at < CONFIRMED_MAX_AGE_S:
             self._confirmed_at = now
@@ -118,25 +135,35 @@
     def on_version(self, version: int, host: str) -> None:
         """Fetch a configuration that another node has if it is newer than the one here."""
         self._newest_version = max(self._newest_version, version)
-        if self._is_newer(version):
-            self._exchange.expect(version)
-            self._announced[host] = version
+        self._on_announced(version, 0, host)
+
+    def on_position(self, position: int, host: str) -> None:
+        """Fetch the records of another node if they go further than those here."""
+        self._newest_position = max(self._newest_position, position)
+        self._on_announced(0, position, host)
+
+    def _on_announced(self, version: int, position: int, host: str) -> None:
+        if self._is_newer(version, position):
+            self._exchange.expect(version, position)
+            known_version, known_position = self._announced.get(host, (0, 0))
+            self._announced[host] = (max(version, known_version), max(position, known_position))
             self._fetch_announced()
 
-    def _is_newer(self, version: int) -> bool:
+    def _is_newer(self, version: int, position: int) -> bool:
         config = self._state.config
-        return config is None or config.version < version
+        return config is None or config.version < version or self._position < position
 
     def _fetch_announced(self) -> None:
-        """Fetch the newest announced version, unless a fetch is under way or none is newer."""
+        """Fetch the newest announced records, unless a fetch is under way or none are newer."""
         if self._exchange.is_fetching:
             return
         self._announced = {
-            host: version for host, version in self._announced.items() if self._is_newer(version)
+            host: newest for host, newest in self._announced.items() if self._is_newer(*newest)
         }
         if self._announced:
             host = max(self._announced, key=lambda each: self._announced[each])
-            self._exchange.fetch(self._announced.pop(host), host)
+            version, _ = self._announced.pop(host)
+            self._exchange.fetch(version, host)
 
     def _needs_store(self) -> bool:
         """Whether this node must read the configuration from the store itself.
@@ -158,7 +185,7 @@
         if self._exchange.may_deliver(now):
             return False
         confirmed = now - self._confirmed_at <= CONFIRMATION_LIFETIME_S
-        return not (confirmed and config.version >= self._newest_version)
+        return not confirmed or self._is_newer(self._newest_version, self._newest_position)
 
     def _store_wait_s(self) -> float:
         """Return for how many seconds the store may hold back a read of the configuration.
@@ -173,10 +200,43 @@
         return 0.0 if is_confirmed else READ_WAIT_S
 
     def _on_record(self, record: ConfigRecord, newest_at: float) -> None:
-        self._feed.adopt(record.offset + 1, newest_at)
+        """Use the records of another node, unless they are older than those here."""
+        position = record.position
+        if position is None or position >= self._position:
+            # Without a position, records before that of the configuration may be missing here.
+            self._feed.adopt(position, newest_at)
+        if position is not None and position > self._position:
+            self._advance(position, record.evacuated, "node")
         self._apply(KeyedRecord(CONFIG_KEY, record.value, record.offset))
 
+    def _on_list(self, entries: Sequence[KeyedRecord]) -> None:
+        """Use the newest record of each key, unless the list is older than what is known."""
+        end = self._feed.offset
+        if end < self._position:
+            log_warning("operator_records_outdated", end=end, position=self._position)
+            return
+        self._advance(end, evacuated_after(frozenset(), entries), "store")
+        self._apply_configurations(entries)
+
     def _on_entries(self, entries: Sequence[KeyedRecord]) -> None:
+        """Use records that follow; those before the position are contained in it."""
+        if entries[0].offset > self._position:
+            log_warning("feed_gap", topic=CONFIG_TOPIC, offset=self._position)
+            self._feed.read_whole()
+            return
+        newer = [entry for entry in entries if entry.offset >= self._position]
+        if newer:
+            self._advance(self._feed.offset, evacuated_after(self._state.evacuated, newer), "store")
+            self._apply_configurations(newer)
+
+    def _advance(self, position: int, evacuated: frozenset[DataCentre], source: str) -> None:
+        """Move the position on, with the data centres that are evacuated as of it."""
+        self._position = position
+        self._exchange.set_position(position, evacuated)
+        if set_evacuated(self._state, evacuated, position, source):
+            self._on_evacuation()
+
+    def _apply_configurations(self, entries: Sequence[KeyedRecord]) -> None:
         for entry in entries:
             if entry.key == CONFIG_KEY and entry.value is not None:
                 self._apply(entry)
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -67,6 +67,11 @@
             "Version of the configuration in force.",
             registry=self.registry,
         )
+        self.evacuated_data_centres = Gauge(
+            "briarpond_gateway_evacuated_data_centres",
+            "Data centres whose servers get no requests, by the operator's order.",
+            registry=self.registry,
+        )
         self.dropped_lines = Gauge(
             "briarpond_gateway_log_lines_dropped",
             "Log lines that the output did not take.",
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -122,6 +122,7 @@
             self._may_read_store,
             self._on_config_applied,
             self._on_store_regained,
+            self._on_evacuation,
         )
         self._instances = InstanceList(self.state.fleet)
         self._instances_feed = TopicFeed(
@@ -267,6 +268,20 @@
             limits.header_timeout_s,
             limits.idle_timeout_s,
         )
+        self._announce_config()
+
+    def _on_evacuation(self) -> None:
+        """Decide anew what the change of the evacuated data centres bears on, here and elsewhere.
+
+        Neither step may keep the set from being put into force or passed on.
+        """
+        run_guarded("held_requests", self.ingress.retry_held)
+        if self._planner.planning:
+            run_guarded("planner", self._planner.step)
+        run_guarded("announcement", self._announce_config)
+
+    def _announce_config(self) -> None:
+        """Tell other nodes of newer records of the operator, if this node passes them on."""
         now = self._clock.now()
         if self._lease.is_candidate(now) or self._peers.sync.members.is_relay(now):
             self._peers.announce()
@@ -359,6 +374,7 @@
             evidence=self.state.quarantine.evidence,
             on_evidence=self.state.quarantine.merge,
             on_pause=self.state.quarantine.on_pause,
+            on_config_position=self._config.on_position,
         )
 
     def _should_apply(self) -> bool:
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -20,6 +20,7 @@
 )
 from briarpond.routes import ModelName, ServiceSpec
 
+from ._evacuation import without_evacuated
 from ._lease import PlannerLease
 from ._peers import PeerLink
 from ._state import NodeState
@@ -232,6 +233,7 @@
         """Plan for one service: update its planner, probe instances, send orders."""
         planner = self._planners.get(spec.name) or self._start_planner(spec, now)
         state = self._state
+        planner.set_evacuated(state.evacuated)
         planner.update_instances(
             [
                 listed_instance
@@ -310,6 +312,7 @@
         plan_log = self._peers.sync.plan_log
         if plan_log.version.term > self._term:
             return
+        wanted = without_evacuated(self._state, wanted)
         previous = plan_log.version
         changed = plan_log.publish(self._term, wanted)
         version = plan_log.version
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -91,6 +91,8 @@
         Memory that incomplete answers of servers take up.
     quarantine_link : QuarantineLink
         Prompt parts that end servers, and what is reported of them.
+    evacuated : frozenset of DataCentre
+        Data centres whose servers get no requests, by the operator's order.
     leaving : bool
         Whether the node is about to stop.
     has_served : bool
@@ -123,6 +125,7 @@
         self.quarantine_link = QuarantineLink(
             self.metrics, clock, lambda now: len(self.groups(now))
         )
+        self.evacuated: frozenset[DataCentre] = frozenset()
         self.leaving = False
         self.has_served = False
         self.plan: Plan | None = None
--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -109,9 +109,15 @@
         but a snapshot that was begun is completed.
     wait_s : callable
         Returns how many seconds the store may hold back a read until a record arrives.
+    reached : callable
+        Returns an offset that the topic is known to have reached. An answer from before it is
+        outdated and does not confirm that no change is missing.
 
     Attributes
     ----------
+    offset : int
+        Offset of the first record that was not passed on; in `on_snapshot` and `on_entries`, of
+        the first one after those that are passed on.
     known_until : float or None
         Time up to which all changes of the topic are known; None before the first snapshot.
     """
@@ -127,6 +133,7 @@
         on_regained: Callable[[float], None] = lambda failure_age_s: None,
         is_wanted: Callable[[], bool] = lambda: True,
         wait_s: Callable[[], float] = lambda: READ_WAIT_S,
+        reached: Callable[[], int] = lambda: 0,
     ) -> None:
         self.known_until: float | None = None
         self._store = store
@@ -138,14 +145,16 @@
         self._on_regained = on_regained
         self._is_wanted = is_wanted
         self._wait_s = wait_s
+        self._reached = reached
         self._requested_wait_s = 0.0
         self._state = _FeedState.SNAPSHOT
         self._snapshot_entries: list[KeyedRecord] = []
         self._next_page_after: str | None = None
         self._snapshot_end: int | None = None
         self._snapshot_began_at = 0.0
-        self._offset = 0
+        self.offset = 0
         self._requested_at = 0.0
+        self._requested_offset = 0
         self._failures = 0
         self._failed_at = float("-inf")
         self._next_delay_s = 0.0
@@ -163,21 +172,27 @@
         if self.known_until is not None:
             self.known_until = max(self.known_until, at)
 
-    def adopt(self, offset: int, known_until: float) -> None:
+    def read_whole(self) -> None:
+        """Read the newest record of each key anew, because records are missing."""
+        self._begin_snapshot()
+
+    def adopt(self, offset: int | None, known_until: float) -> None:
         """Take over a state of the topic that another node has read.
 
         Parameters
         ----------
-        offset : int
-            Offset of the first record that is not part of that state.
+        offset : int or None
+            Offset of the first record that is not part of that state. None if it is not
+            known; the topic is then read on from where this feed is.
         known_until : float
             Time up to which the other node knew all changes.
         """
         if self._state is _FeedState.SNAPSHOT and self._snapshot_end is not None:
             # The pages that are being read may be newer.
             return
-        self._state = _FeedState.TAIL
-        self._offset = max(self._offset, offset)
+        if offset is not None:
+            self._state = _FeedState.TAIL
+            self.offset = max(self.offset, offset)
         if self.known_until is None:
             self.known_until = known_until
         self.confirm(known_until)
@@ -197,7 +212,8 @@
             timeout_s, handle = CALL_TIMEOUT_S, self._on_page
         else:
             self._requested_wait_s = self._wait_s() if self._failures == 0 else 0.0
-            request = read_records_request(self._topic, self._offset, self._requested_wait_s)
+            self._requested_offset = self.offset
+            request = read_records_request(self._topic, self.offset, self._requested_wait_s)
             timeout_s, handle = self._requested_wait_s + READ_MARGIN_S, self._on_records
         self._store.call(request, timeout_s, partial(self._on_answer, handle), self._on_lost)
 
@@ -240,17 +256,19 @@
     def _end_snapshot(self, end_offset: int) -> None:
         entries = self._snapshot_entries
         self._begin_snapshot()
-        self._offset = end_offset
+        self.offset = end_offset
         self._state = _FeedState.TAIL
-        self.known_until = self._snapshot_began_at
+        if end_offset >= self._reached() or self.known_until is None:
+            self.known_until = self._snapshot_began_at
         self._on_snapshot(entries)
 
     def _on_records(self, status: int, body: bytes) -> None:
         if status == 410:
-            log_warning("feed_gap", topic=self._topic, offset=self._offset)
+            log_warning("feed_gap", topic=self._topic, offset=self.offset)
             self._begin_snapshot()
             return
-        records = decode_records(body, self._offset) if status == 200 else None
+        # `offset` may have moved on since the read was sent; the records are those asked for.
+        records = decode_records(body, self._requested_offset) if status == 200 else None
         if records is None or records.is_error():
             self._note_failure(f"status {status}" if records is None else records.error)
             return
@@ -260,8 +278,8 @@
         now = self._clock.now()
         entries = page.entries
         wait_ended_empty = self._failures == 0 and not entries
-        self._offset = max(self._offset, page.next_offset)
-        has_more = self._offset < page.end_offset
+        self.offset = max(self.offset, page.next_offset)
+        has_more = self.offset < page.end_offset
         # An answer without records means that there were none up to the end of the wait;
         # one with records confirms only the time at which the read was sent.
         confirmed_until = max(
@@ -276,7 +294,10 @@
             return
         if entries:
             self._next_delay_s = self._pause_s()
-        self.confirm(confirmed_until)
+        if page.end_offset < self._reached():
+            self._next_delay_s = max(self._next_delay_s, RETRY_DELAY_S)
+        elif self._state is _FeedState.TAIL:
+            self.confirm(confirmed_until)
 
     def _on_success(self) -> None:
         if self._failures:
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -11,6 +11,7 @@
 from briarpond.net import Address
 from briarpond.routes import EngineSpec, ModelName, ModelSpec
 
+from ._evacuation import is_evacuated
 from ._state import NodeState
 
 # Requests that a group may be sent beyond its slots.
@@ -106,6 +107,7 @@
         and group.head not in tried
         and not state.has_left(group.head, now)
         and not state.is_avoided(group.head, now)
+        and not is_evacuated(state, group.head, group.data_centre)
     ]
     choices = [
         _rate_group(state, engine, spec, request_size, group, now)
@@ -175,7 +177,7 @@
         server = target.instance
         if target.service != service or server in tried or state.has_left(server, now):
             continue
-        if state.is_avoided(server, now):
+        if state.is_avoided(server, now) or is_evacuated(state, server, target.data_centre):
             continue
         load = state.load_tracker.total_load(server)
         full = state.load_tracker.is_full(server, now)
--- a/briarpond/platform/_store.py
+++ b/briarpond/platform/_store.py
@@ -16,10 +16,13 @@
 from expression import Error, Ok, Result
 
 from briarpond.decoding import decode_json
+from briarpond.ids import DataCentre
 
 # Topics: the operator's configuration, the instance list and the registered nodes.
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+# Prefix of the keys whose records evacuate a data centre; its name follows.
+EVACUATION_KEY_PREFIX = "evacuate/"
 INSTANCES_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.nodes"
 # Lease group, and topic whose first partition stands for the planner's lease.
@@ -159,6 +162,15 @@
     return StoreRequest("POST", "/log-append?" + query, _RECORD_LENGTH.pack(len(record)) + record)
 
 
+def evacuated_data_centre(key: str) -> DataCentre | None:
+    """Return the data centre that a record of the operator evacuates; None for other keys.
+
+    A record with a value evacuates it, and one without a value cancels the evacuation.
+    """
+    name = key.removeprefix(EVACUATION_KEY_PREFIX)
+    return DataCentre(name) if name and name != key else None
+
+
 def join_lease_request(member: str, ttl_s: float, term: int) -> StoreRequest:
     """Build the request to join the planner's lease group or to renew the membership.
 
--- a/tests/gateway/test_config_exchange.py
+++ b/tests/gateway/test_config_exchange.py
@@ -109,3 +109,20 @@
 def test_record_round_trip():
     record = ConfigRecord(5, 0.5, RECORD)
     assert decode_config_record(encode_config_record(record)).ok == record
+
+
+def test_record_round_trip_with_position_and_evacuations():
+    record = ConfigRecord(5, 0.5, RECORD, 9, frozenset({"a", "b"}))
+    assert decode_config_record(encode_config_record(record)).ok == record
+    record = ConfigRecord(5, 0.5, RECORD, 9)
+    assert decode_config_record(encode_config_record(record)).ok == record
+
+
+def test_record_goes_with_the_position_and_the_evacuations_as_of_it(exchange):
+    """Guards against a record that brings a node up to a position without its evacuations."""
+    exchange.set_record(12, RECORD)
+    exchange.set_position(15, frozenset({"a"}))
+    exchange.fetch(7, "10.0.0.2")
+    exchange.client.fetches[0][2](200, answer_of(exchange).body)
+    record, _ = exchange.received[0]
+    assert (record.offset, record.position, record.evacuated) == (12, 15, frozenset({"a"}))
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -8,7 +8,9 @@
 from briarpond.directory import Plan, PlanLog, RoutingTargets
 from briarpond.fleet import FleetView
 from briarpond.gateway._planner_link import PlannerRunner
+from briarpond.platform import decode_instance
 
+from ..platform_samples import server_bytes
 from .world import Gateway, make_instance
 
 
@@ -199,3 +201,51 @@
     gateway.members.planning_ended_at = {"n2": gateway.clock.now() - 5.0}.get
     state.planner_heard(gateway.clock.now() + 0.3)
     assert not step_after(node, 0.5)
+
+
+def published_servers(gateway, runner):
+    return {each.instance for each in runner._peers.sync.plan_log.targets.servers}
+
+
+def test_evacuated_data_centre_is_not_in_the_published_plan(node):
+    """Guards against targets that every node would have to leave out by itself.
+
+    It holds also while the planner of the next term has not begun to plan.
+    """
+    gateway, runner = node
+    state = gateway.state
+    data_centre = state.fleet.get("p0").data_centre
+    state.evacuated = frozenset({data_centre})
+    step_after(node, 0.1)
+    assert published_servers(gateway, runner) == set()
+    assert step_after(node, 0.5)
+    assert published_servers(gateway, runner) == set()
+    state.evacuated = frozenset()
+    step_after(node, 0.1)
+    assert published_servers(gateway, runner) == {"p0", "p1", "p2"}
+
+
+def test_open_group_in_an_evacuated_data_centre_gets_no_orders_and_returns_to_the_plan(node):
+    """Guards against a data centre that has to form its groups anew after a cancellation."""
+    gateway, runner = node
+    state = gateway.state
+    engine = state.engine("pool")
+    members = [f"m{rank}" for rank in range(engine.model("big").group_size)]
+    for rank, member in enumerate(members):
+        group = {"name": "g1-1", "epoch": 1000001, "rank": rank}
+        group["state"] = "ready" if rank else "open"
+        entry = server_bytes(group=group, addr=f"10.128.0.{rank + 1}:8080")
+        state.fleet.put(decode_instance(member, entry).ok, gateway.clock.now())
+    state.fleet.remove("i-1", gateway.clock.now())
+    assert step_after(node, 0.5)
+    plan_log = runner._peers.sync.plan_log
+    assert [each.head for each in plan_log.targets.groups] == ["m0"]
+    orders = []
+    runner._send_order = lambda planner, order: orders.append(order)
+    state.evacuated = frozenset({state.fleet.get("m0").data_centre})
+    for _ in range(20):
+        step_after(node, 0.1)
+    assert plan_log.targets.groups == () and orders == []
+    state.evacuated = frozenset()
+    step_after(node, 0.1)
+    assert [each.head for each in plan_log.targets.groups] == ["m0"] and orders == []
