Cold servers are read from the list, the configuration and the settings

Cause: a server that has just started handles few requests a second and crashes well above that. Its entry says how long it stays cold (`coldLeftMs`), the service what a cold server handles (`coldPerS`, `coldStartS`), the bounds what it may receive (`coldOverage`, `coldSlack`). None of these was read.

Change: the platform's records are decoded, with numbers out of range clamped; the view of the list knows until when an instance is cold; rows of the plan carry the flag `cold`; the table of members returns the nodes that were alive a short time ago. Nothing uses it yet. A row that is not cold is encoded as before.

Evidence: tests in tests/platform, tests/fleet and tests/directory/test_directory.py pass.

--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -297,6 +297,7 @@
                 target.address.host,
                 target.address.port,
                 target.data_centre,
+                target.cold or None,
             )
             for target in delta.groups
         ],
@@ -308,6 +309,7 @@
                 target.address.port,
                 target.data_centre,
                 min(target.slots, MAX_COUNT),
+                target.cold or None,
             )
             for target in delta.servers
         ],
@@ -333,6 +335,7 @@
         InstanceId(wire.head),
         Address(wire.host, wire.port),
         DataCentre(wire.data_centre or ""),
+        bool(wire.cold),
     )
 
 
@@ -343,6 +346,7 @@
         Address(wire.host, wire.port),
         DataCentre(wire.data_centre),
         wire.slots,
+        bool(wire.cold),
     )
 
 
--- a/briarpond/directory/_members.py
+++ b/briarpond/directory/_members.py
@@ -160,6 +160,23 @@
         """Return the other nodes that count as alive."""
         return [entry.member for entry in self._entries.values() if self._is_live(entry, now)]
 
+    def recently_live(self, within_s: float, now: float) -> frozenset[NodeId]:
+        """Return the names of the nodes that are or were alive within a time, with this one.
+
+        Parameters
+        ----------
+        within_s : float
+            Seconds for which a node that is gone or unreachable still counts.
+        now : float
+            Present time.
+        """
+        nodes = {
+            entry.member.node
+            for entry in self._entries.values()
+            if self._was_live(entry, now - within_s)
+        }
+        return frozenset(nodes | {self.own.node})
+
     def count_nodes(self, now: float) -> int:
         """Return the number of nodes that count as alive, this one included."""
         return 1 + len(self.live(now))
@@ -342,6 +359,10 @@
         vouched_at = self._vouched_at.get(entry.member.data_centre, float("-inf"))
         return now - vouched_at <= UNREACHABLE_AFTER_S
 
+    def _was_live(self, entry: _Entry, at: float) -> bool:
+        """Whether a node counted as alive at a time in the past, or does so since."""
+        return entry.changed_at >= at if entry.member.gone else self._is_live(entry, at)
+
     def _refute(self, member: Member) -> None:
         """Replace a description of this node that others have and that is not its own."""
         own = self.own
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -76,6 +76,8 @@
         Address of the head.
     data_centre : DataCentre
         Where the head runs; empty if unknown.
+    cold : bool
+        Whether the head is cold and takes few requests.
     """
 
     group: GroupId
@@ -84,6 +86,7 @@
     head: InstanceId
     address: Address
     data_centre: DataCentre = DataCentre("")
+    cold: bool = False
 
 
 class PlainServerTarget(msgspec.Struct, frozen=True):
@@ -101,6 +104,8 @@
         Where it runs.
     slots : int
         Requests that it runs at once.
+    cold : bool
+        Whether it is cold and takes few requests.
     """
 
     instance: InstanceId
@@ -108,6 +113,7 @@
     address: Address
     data_centre: DataCentre
     slots: int
+    cold: bool = False
 
 
 class RoutingTargets(msgspec.Struct, frozen=True):
--- a/briarpond/fleet/_models.py
+++ b/briarpond/fleet/_models.py
@@ -76,6 +76,8 @@
         Model that is loaded.
     membership : Membership or None
         Group that the instance belongs to; None if it is in no group.
+    cold_left_s : float or None
+        Seconds for which it stays cold after its entry was written; None if not known.
     """
 
     id: InstanceId
@@ -89,3 +91,4 @@
     staged_models: tuple[ModelName, ...] = ()
     model: ModelName | None = None
     membership: Membership | None = None
+    cold_left_s: float | None = None
--- a/briarpond/fleet/_view.py
+++ b/briarpond/fleet/_view.py
@@ -17,9 +17,23 @@
 
 
 class _Entry(msgspec.Struct):
-    """An instance as last listed, and the time since which its entry has been missing."""
+    """An instance as last listed.
+
+    Attributes
+    ----------
+    instance : Instance
+        The instance.
+    listed_at : float
+        Time at which this node learnt of the entry.
+    start_known_at : float
+        Time at which this node first learnt of an entry of this start of the process.
+    missing_since : float or None
+        Time since which the entry has been missing; None if it is listed.
+    """
 
     instance: Instance
+    listed_at: float
+    start_known_at: float
     missing_since: float | None = None
 
 
@@ -54,7 +68,11 @@
 
     def put(self, instance: Instance, now: float) -> None:
         """Add or replace an entry."""
-        self._entries[instance.id] = _Entry(instance)
+        previous = self._entries.get(instance.id)
+        start_known_at = now
+        if previous is not None and previous.instance.started_at_ms == instance.started_at_ms:
+            start_known_at = previous.start_known_at
+        self._entries[instance.id] = _Entry(instance, now, start_known_at)
         if instance.state is InstanceState.DRAINING:
             self.unavailable_since.setdefault(instance.id, now)
         else:
@@ -131,6 +149,27 @@
         entry = self._entries.get(instance)
         return None if entry is None else entry.instance
 
+    def cold_until(self, instance: InstanceId, cold_start_s: float) -> float:
+        """Return the time at which an instance ceases to be cold.
+
+        The age of an entry is not known, so it counts from the time at which this node learnt
+        of it. An instance may thus count as cold for too long, but not for too short a time.
+
+        Parameters
+        ----------
+        instance : InstanceId
+            The instance.
+        cold_start_s : float
+            Seconds for which it is cold after its start; used if its entry does not say for
+            how long it stays cold.
+        """
+        entry = self._entries.get(instance)
+        if entry is None:
+            return float("-inf")
+        if entry.instance.cold_left_s is None:
+            return entry.start_known_at + cold_start_s
+        return entry.listed_at + entry.instance.cold_left_s
+
     def all_instances(self) -> list[Instance]:
         """Return all instances, those with missing entries included."""
         return [entry.instance for entry in self._entries.values()]
--- a/briarpond/platform/__init__.py
+++ b/briarpond/platform/__init__.py
@@ -27,7 +27,13 @@
     encode_open,
     encode_stage,
 )
-from ._settings import GatewaySettings, StoreSettings, load_gateway_settings, settings_path
+from ._settings import (
+    BoundSettings,
+    GatewaySettings,
+    StoreSettings,
+    load_gateway_settings,
+    settings_path,
+)
 from ._store import (
     CONFIG_KEY,
     CONFIG_TOPIC,
@@ -61,6 +67,7 @@
     "PLANNER_LEASE_TOPIC",
     "REPORT_PATH",
     "AddressQuery",
+    "BoundSettings",
     "KeyedRecord",
     "GatewaySettings",
     "LeaseAnswer",
--- a/briarpond/platform/_configuration.py
+++ b/briarpond/platform/_configuration.py
@@ -27,6 +27,9 @@
 
 _REQUEST_KINDS = {kind.value: kind for kind in RouteKind}
 _DEFAULT_TIMEOUT_MS = 30_000.0
+# Largest numbers that are used of a cold server's rate and of its time after the start.
+_MAX_COLD_PER_S = 1e6
+_MAX_COLD_START_S = 3600.0
 
 
 class _SplitPart(msgspec.Struct):
@@ -124,6 +127,10 @@
     name: str
     healthPath: str = "/"  # noqa: N815
     maxConns: int = 100  # noqa: N815
+    # Requests a second that a cold server can handle; 0 means no limit.
+    coldPerS: float = 0.0  # noqa: N815
+    # How long a server is cold after its start.
+    coldStartS: float = 0.0  # noqa: N815
     engine: _Engine | None = None
 
 
@@ -218,7 +225,12 @@
     engine = service.engine
     spec = None if engine is None else _to_engine(engine)
     return ServiceSpec(
-        ServiceName(service.name), service.healthPath, max(1, service.maxConns), spec
+        ServiceName(service.name),
+        service.healthPath,
+        max(1, service.maxConns),
+        spec,
+        min(max(0.0, service.coldPerS), _MAX_COLD_PER_S),
+        min(max(0.0, service.coldStartS), _MAX_COLD_START_S),
     )
 
 
--- a/briarpond/platform/_instances.py
+++ b/briarpond/platform/_instances.py
@@ -16,6 +16,8 @@
 
 # More slots than any server has; one that states no limit counts as having these.
 MAX_SLOTS = 100_000
+# Longest time for which an entry can make its server cold.
+MAX_COLD_LEFT_S = 3600.0
 
 # A number that the messages between nodes can carry.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -60,6 +62,8 @@
     slots: _Count = 1
     # Start of the process, in Unix milliseconds.
     born: _Count = 0
+    # How long the server stays cold from the writing of the record, in milliseconds.
+    coldLeftMs: float | None = None  # noqa: N815
     # Fabric domain; the members of a group are in the same one.
     domain: str | int | None = None
     # Models whose weights are stored on the host.
@@ -114,10 +118,17 @@
             staged_models=tuple(ModelName(name) for name in entry.staged or ()),
             model=ModelName(entry.models[0].name) if entry.models else None,
             membership=to_membership(entry.group),
+            cold_left_s=_to_cold_left_s(entry.coldLeftMs),
         )
     )
 
 
+def _to_cold_left_s(cold_left_ms: float | None) -> float | None:
+    if cold_left_ms is None:
+        return None
+    return min(max(0.0, cold_left_ms / 1000), MAX_COLD_LEFT_S)
+
+
 def to_membership(reported: GroupReport | None) -> Membership | None:
     """Convert the membership that an instance reports.
 
--- a/briarpond/platform/_settings.py
+++ b/briarpond/platform/_settings.py
@@ -3,6 +3,7 @@
 The structs with a leading underscore have the platform's field names and defaults.
 """
 
+import math
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -52,6 +53,21 @@
     min_lease_ttl_s: float
 
 
+class ColdBound(msgspec.Struct, frozen=True):
+    """Bound on the requests that one cold server receives in a second from all nodes.
+
+    Attributes
+    ----------
+    overage : float
+        Factor on the requests a second that the server can handle.
+    slack : float
+        Requests that are added to this.
+    """
+
+    overage: float
+    slack: float
+
+
 class BoundSettings(msgspec.Struct, frozen=True):
     """Limits that the deployment guarantees, which this node has to keep.
 
@@ -78,6 +94,8 @@
     directory_ttl_max_s : float
         Longest time to live, in seconds, that callers accept in an answer of the
         directory.
+    cold : ColdBound or None
+        Bound on requests to a cold server; None if cold servers get no special treatment.
     """
 
     stop_timeout_s: float
@@ -90,6 +108,7 @@
     weight_load_window_s: float
     weight_load_factor: float
     directory_ttl_max_s: float
+    cold: ColdBound | None = None
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
@@ -156,6 +175,9 @@
     ceilingFactor: float = 1.0  # noqa: N815
     # Time to live of directory answers.
     ttl_max_s: float = 5.0
+    # Requests to a cold server; if both are absent, there is no such bound.
+    coldOverage: float | None = None  # noqa: N815
+    coldSlack: float | None = None  # noqa: N815
 
 
 class _Platform(msgspec.Struct):
@@ -244,7 +266,19 @@
             weight_load_window_s=bounds.ceilingWindowS,
             weight_load_factor=bounds.ceilingFactor,
             directory_ttl_max_s=bounds.ttl_max_s,
+            cold=_to_cold_bound(bounds),
         ),
         first_start=file.bootstrap,
         seed_hosts=tuple(Address.parse(seed).host for seed in file.seeds),
     )
+
+
+def _to_cold_bound(bounds: _Bounds) -> ColdBound | None:
+    """Convert the bound on requests to a cold server; a single absent part adds nothing to it."""
+    if bounds.coldOverage is None and bounds.coldSlack is None:
+        return None
+    overage = 1.0 if bounds.coldOverage is None else bounds.coldOverage
+    slack = 0.0 if bounds.coldSlack is None else bounds.coldSlack
+    if not (0 < overage < math.inf and 0 <= slack < math.inf):
+        raise ValueError("bounds.coldOverage must be above 0, and bounds.coldSlack at least 0")
+    return ColdBound(overage, slack)
--- a/briarpond/routes/_models.py
+++ b/briarpond/routes/_models.py
@@ -212,12 +212,18 @@
         Limit on connections to the service, as the operator configured it.
     engine : EngineSpec or None
         Figures of the engine if the instances form groups; None for a plain service.
+    cold_per_s : float
+        Requests a second that a cold server can handle; 0 means no limit.
+    cold_start_s : float
+        Seconds for which a server is cold after its start, if its entry does not say so itself.
     """
 
     name: ServiceName
     health_path: str
     max_connections: int
     engine: EngineSpec | None = None
+    cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -41,6 +41,11 @@
 
 
 DELTA = PlanDelta(PlanVersion(3, 9), 7, (GROUP,), (SERVER,), ("group/x",))
+COLD_DELTA = msgspec.structs.replace(
+    DELTA,
+    groups=(msgspec.structs.replace(GROUP, cold=True), GROUP),
+    servers=(msgspec.structs.replace(SERVER, cold=True), SERVER),
+)
 MESSAGES = [
     Pull(member("1"), 123, 5, 9, PlanVersion(3, 8), 4, LOAD),
     Answer(
@@ -57,6 +62,7 @@
         ConfigStatus(7, 1.25),
     ),
     Answer(member("1"), 123, 5, 9, False, (), {}, None, None, None, None),
+    Notice(member("1"), plan=PlanStatus(PlanVersion(3, 9), 0.0, 0.5, "1"), delta=COLD_DELTA),
     Notice(member("1"), ("i",), 7, PlanStatus(PlanVersion(3, 9), 0.0, 0.5, "1"), DELTA, True),
 ]
 
@@ -144,6 +150,28 @@
     assert table.no_node_reaches_store(14.1)
 
 
+def test_rows_that_are_not_cold_are_sent_as_before():
+    """Nodes without the field read the datagrams of those that have it."""
+    warm = encode_datagram(Notice(member("1"), delta=DELTA))
+    cold = encode_datagram(Notice(member("1"), delta=COLD_DELTA))
+    assert decode_datagram(warm).ok.delta.groups == (GROUP,) and GROUP.cold is False
+    assert decode_datagram(cold).ok.delta.servers[0].cold is True
+    one_row = msgspec.structs.replace(COLD_DELTA, groups=(GROUP,), servers=(SERVER,))
+    assert encode_datagram(Notice(member("1"), delta=one_row)) == warm
+
+
+def test_node_that_has_gone_counts_as_recently_live_for_a_while():
+    """Guards against senders of a cold server that all change at once when a node restarts."""
+    table = table_with(member("1"), member("2"), member("3", "b"))
+    table.vouch("b", 10.0)
+    table.merge(member("2", gone=True), 10.5)
+    assert table.count_nodes(10.6) == 2
+    assert table.recently_live(5.0, 10.6) == {"1", "2", "3"}
+    assert table.recently_live(5.0, 15.4) == {"1", "2", "3"}
+    assert table.recently_live(5.0, 15.6) == {"1", "3"}
+    assert table.recently_live(5.0, 17.0) == {"1"}
+
+
 def test_node_refutes_that_it_is_gone():
     table = MemberTable(member("1"))
     reported = msgspec.structs.replace(table.own, gone=True)
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -96,3 +96,26 @@
     assert "a" in view.unavailable_since and view.get("a") is not None
     view.put(listed_instance("a"), 11.7)
     assert "a" not in view.unavailable_since
+
+
+def test_instance_is_cold_for_the_time_that_its_entry_states():
+    view = FleetView()
+    view.put(listed_instance("a", coldLeftMs=2000), 10.0)
+    assert view.cold_until("a", 3.0) == 12.0
+    view.replace_all([listed_instance("a", coldLeftMs=2000)], 11.0)
+    assert view.cold_until("a", 3.0) == 12.0
+    view.put(listed_instance("a", coldLeftMs=0, seq=5), 11.5)
+    assert view.cold_until("a", 3.0) == 11.5
+    view.put(listed_instance("a", coldLeftMs=3000, seq=6), 20.0)
+    assert view.cold_until("a", 3.0) == 23.0
+    assert view.cold_until("unknown", 3.0) == float("-inf")
+
+
+def test_instance_whose_entry_does_not_say_is_cold_after_its_start():
+    """A later entry of the same start does not make it cold again."""
+    view = FleetView()
+    view.put(listed_instance("a", coldLeftMs=None, born=1), 10.0)
+    view.put(listed_instance("a", coldLeftMs=None, born=1, slots=3), 12.0)
+    assert view.cold_until("a", 3.0) == 13.0
+    view.put(listed_instance("a", coldLeftMs=None, born=2), 20.0)
+    assert view.cold_until("a", 3.0) == 23.0
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -28,6 +28,7 @@
     parse_token_counts,
 )
 from briarpond.platform._headers import MAX_PROMPT_PARTS
+from briarpond.platform._settings import ColdBound
 from briarpond.routes import RouteKind
 
 from ..platform_samples import SETTINGS, config_bytes, server_bytes
@@ -139,6 +140,46 @@
     assert settings.bounds.revoke_within_s == 5.0 and settings.store.min_lease_ttl_s == 1.0
 
 
+def load_settings_with_bounds(tmp_path, more):
+    path = tmp_path / "node.yaml"
+    path.write_text(SETTINGS.replace("retrySlack: 107", f"retrySlack: 107{more}"))
+    return load_gateway_settings(path)
+
+
+@pytest.mark.parametrize(
+    ("more", "bound"),
+    [
+        ("", None),
+        (", coldOverage: 1.5, coldSlack: 5", ColdBound(1.5, 5.0)),
+        (", coldOverage: 1.5", ColdBound(1.5, 0.0)),
+        (", coldSlack: 5", ColdBound(1.0, 5.0)),
+    ],
+)
+def test_bound_for_cold_servers_is_absent_unless_it_is_set(tmp_path, more, bound):
+    assert load_settings_with_bounds(tmp_path, more).ok.bounds.cold == bound
+
+
+@pytest.mark.parametrize("more", [", coldOverage: 0", ", coldSlack: -1", ", coldOverage: .inf"])
+def test_bound_for_cold_servers_that_means_nothing_is_a_problem(tmp_path, more):
+    problem = load_settings_with_bounds(tmp_path, more).error
+    assert problem.code == "gateway.E003" and "cold" in problem.message and problem.hint
+
+
+def test_cold_servers_of_a_service_are_limited_if_the_configuration_says_so():
+    services = [{"name": "desk", "coldPerS": 26.0, "coldStartS": 3.0}, {"name": "other"}]
+    services.append({"name": "odd", "coldPerS": -1, "coldStartS": 1e300})
+    decoded = decode_configuration(config_bytes(services=services)).ok.services.values()
+    assert [(each.cold_per_s, each.cold_start_s) for each in decoded] == [
+        (26.0, 3.0),
+        (0.0, 0.0),
+        (0.0, 3600.0),
+    ]
+
+
+def test_entry_says_how_long_its_server_stays_cold():
+    assert decode_instance("i-1", server_bytes(coldLeftMs=2900)).ok.cold_left_s == 2.9
+
+
 @pytest.mark.parametrize(
     ("text", "code"),
     [
--- a/tests/platform/test_untrusted_records.py
+++ b/tests/platform/test_untrusted_records.py
@@ -65,6 +65,7 @@
     "state",
     "slots",
     "born",
+    "coldLeftMs",
     "domain",
     "staged",
     "models",
@@ -114,6 +115,12 @@
     assert 0 < decoded.ok.slots < 2**31 and encodable(decoded.ok).is_ok()
 
 
+@pytest.mark.parametrize(("value", "cold_left_s"), [(1e308, 3600.0), (-5, 0.0), (None, None)])
+def test_time_for_which_a_server_stays_cold_is_bounded(value, cold_left_s):
+    """Guards against a number that can't be logged, or a server that is never used again."""
+    assert decode_instance("i-1", server_bytes(coldLeftMs=value)).ok.cold_left_s == cold_left_s
+
+
 @pytest.mark.parametrize(
     "changes",
     [
--- a/tests/platform_samples.py
+++ b/tests/platform_samples.py
@@ -1,7 +1,7 @@
 """Sample records and settings in the format of the outside platform.
 
 They contain fields that the adapter does not have, which it must ignore
-(``field_of_tomorrow``, ``coldLeftMs``).
+(``field_of_tomorrow``, ``fieldOfTomorrow``).
 """
 
 import json
