--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -2,6 +2,7 @@
 
 from ._admission import AdmissionAction, AdmissionDecision, decide_admission
 from ._budget import SharedRetryBudget
+from ._cold import ColdLimit, ColdSends
 from ._events import DamagedEventError, ResumableEventSplitter, has_fields
 from ._load import InFlightLoad, LoadTracker
 from ._pace import EventGapTracker
@@ -24,6 +25,8 @@
     "MIN_REMAINING_S",
     "AdmissionAction",
     "AdmissionDecision",
+    "ColdLimit",
+    "ColdSends",
     "DamagedEventError",
     "EventGapTracker",
     "GroupPreferences",
