Requests to cold servers are paced

Cause: a server that has just started, or is cold again, received as many requests as a warm one.

Change: the planner marks targets as cold, as does a node that follows the list itself. Where the settings bound the requests to cold servers, the choice of a server leaves out those to which no request of this node is due. The pacing counts when the first byte leaves, for repeated requests and hedges as well; from the choice until then nothing else is sent to that server.

--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -39,6 +39,11 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self.cold_detours = Counter(
+            "briarpond_gateway_cold_detours_total",
+            "Sends to another server while a cold one had room and was not due.",
+            registry=self.registry,
+        )
         self.orders = Counter(
             "briarpond_gateway_orders_total",
             "Orders to instances by kind and status.",
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -35,6 +35,7 @@
 from briarpond.quarantine import trial_node
 from briarpond.routes import GatewayConfiguration
 
+from ._cold_link import RECENT_NODES_S
 from ._config_keeper import ConfigKeeper
 from ._connection_log import record_connection_end
 from ._ingress import Ingress
@@ -465,7 +466,10 @@
     def _run_housekeeping(self) -> None:
         state = self.state
         now = self._clock.now()
-        state.node_count = self._peers.sync.members.count_nodes(now)
+        members = self._peers.sync.members
+        state.node_count = members.count_nodes(now)
+        state.cold_link.update_nodes(members.recently_live(RECENT_NODES_S, now), now)
+        state.cold_sends(now)
         listed = {listed_instance.id for listed_instance in state.fleet.all_instances()}
         state.load_tracker.prune(listed)
         state.group_preferences.prune({target.head for target in state.groups(now)})
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -302,7 +302,7 @@
             target
             for planner in self._planners.values()
             for group in planner.serving_groups(now)
-            if (target := self._group_target(group)) is not None
+            if (target := self._group_target(group, now)) is not None
         )
         self._publish_targets(RoutingTargets(groups, self._state.own_targets().servers), now)
 
@@ -322,12 +322,18 @@
             self._state.metrics.groups.set({}, len(targets.groups))
             self._peers.announce(delta=plan_log.delta_since(previous))
 
-    def _group_target(self, group: PlannedGroup) -> GroupTarget | None:
+    def _group_target(self, group: PlannedGroup, now: float) -> GroupTarget | None:
         head = self._state.fleet.get(group.head)
         if head is None or group.head in self._state.fleet.unavailable_since:
             return None
         return GroupTarget(
-            group.id, group.epoch, group.model, group.head, head.address, head.data_centre
+            group.id,
+            group.epoch,
+            group.model,
+            group.head,
+            head.address,
+            head.data_centre,
+            self._state.is_cold(group.head, now),
         )
 
     def _send_order(self, planner: Planner, order: Order) -> None:
--- a/briarpond/gateway/_request_sends.py
+++ b/briarpond/gateway/_request_sends.py
@@ -105,6 +105,8 @@
         now : float
             Present time.
         """
+        if choice.is_cold_detour:
+            self._context.state.metrics.cold_detours.inc({})
         self.tried.append(choice.instance)
         self._excluded.append(choice.instance)
         if choice.instance in self._unneeded:
--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -111,6 +111,8 @@
         self._address = choice.address
         self._callbacks = callbacks
         self._exchange: Exchange | None = None
+        # Whether the send is counted among those whose first byte has not left.
+        self._is_reserved = False
         self._prompt_tokens = context.caller.size.prompt_tokens
 
     @property
@@ -147,6 +149,8 @@
             connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, caller.expires_at - now)),
             echoed_header=(None if caller.id is None else (PlatformHeader.REQUEST_ID, caller.id)),
         )
+        self._state.cold_link.sends.reserve(self.server)
+        self._is_reserved = True
         self._exchange = self._state.client.start(call)
 
     def cancel(self) -> None:
@@ -162,6 +166,9 @@
         self._mark_first_event()
         self.is_open = False
         self.buffer.clear()
+        if self._is_reserved:
+            self._is_reserved = False
+            self._state.cold_link.sends.release(self.server)
         self._state.load_tracker.record_end(self.server)
 
     # Records
@@ -207,6 +214,9 @@
 
     def _on_sent(self) -> None:
         self.progress.was_sent = True
+        if self._is_reserved:
+            self._is_reserved = False
+            self._state.cold_link.sends.record_sent(self.server, self._state.clock.now())
         self._callbacks.on_sent(self)
 
     def _on_head(self, status: int, headers: Headers) -> None:
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -16,6 +16,7 @@
     ServerInFlight,
 )
 from briarpond.dispatch import (
+    ColdSends,
     EventGapTracker,
     GroupPreferences,
     LoadTracker,
@@ -30,6 +31,7 @@
 from briarpond.quarantine import Quarantine
 from briarpond.routes import EngineSpec, GatewayConfiguration, ModelName, RouteTable
 
+from ._cold_link import ColdLink, cold_limit
 from ._kept_bytes import KeptBytes
 from ._metrics import GatewayMetrics
 from ._quarantine_link import QuarantineLink
@@ -89,6 +91,8 @@
         Time between events of the streams of each head.
     kept_bytes : KeptBytes
         Memory that incomplete answers of servers take up.
+    cold_link : ColdLink
+        Pacing of requests to cold servers.
     quarantine_link : QuarantineLink
         Prompt parts that end servers, and what is reported of them.
     leaving : bool
@@ -120,6 +124,7 @@
         self.event_gap_tracker = EventGapTracker()
         self.metrics = GatewayMetrics()
         self.kept_bytes = KeptBytes()
+        self.cold_link = ColdLink(settings.node, clock.now(), self._cold_until)
         self.quarantine_link = QuarantineLink(
             self.metrics, clock, lambda now: len(self.groups(now))
         )
@@ -137,7 +142,8 @@
         self._recent_demand: deque[tuple[float, ModelName, float]] = deque()
         self._targets = RoutingTargets()
         self.targets_version = PlanVersion(-1, -1)
-        self._own_targets_cache: tuple[int, RoutingTargets] = (-1, RoutingTargets())
+        # Valid for a version of the fleet and a configuration, up to a time.
+        self._own_targets_cache = (-1, self.config, float("-inf"), RoutingTargets())
 
     @property
     def quarantine(self) -> Quarantine:
@@ -295,12 +301,37 @@
 
     def own_targets(self) -> RoutingTargets:
         """Return the targets that follow from this node's own view of the list."""
-        version, targets = self._own_targets_cache
-        if version != self.fleet.version:
-            targets = RoutingTargets(self._own_groups(), self._own_servers())
-            self._own_targets_cache = (self.fleet.version, targets)
+        version, config, valid_until, targets = self._own_targets_cache
+        now = self.clock.now()
+        is_valid = version == self.fleet.version and config is self.config and now < valid_until
+        if not is_valid:
+            targets = RoutingTargets(self._own_groups(now), self._own_servers(now))
+            valid_until = self._next_cold_end(now)
+            self._own_targets_cache = (self.fleet.version, self.config, valid_until, targets)
         return targets
 
+    def cold_sends(self, now: float) -> ColdSends:
+        """Return the pacing of requests to the servers that are cold at present."""
+        targets = RoutingTargets(self.groups(now), self.servers(now))
+        self.cold_link.update_targets(targets, self.config, self.settings.bounds, now)
+        return self.cold_link.sends
+
+    def is_cold(self, server: InstanceId, now: float) -> bool:
+        """Whether the instance list says that a server is cold, and requests to it are limited."""
+        return now < self._cold_until(server)
+
+    def _cold_until(self, server: InstanceId) -> float:
+        instance = self.fleet.get(server)
+        config = self.config
+        spec = None if instance is None or config is None else config.services.get(instance.service)
+        if spec is None or cold_limit(spec, self.settings.bounds) is None:
+            return float("-inf")
+        return self.fleet.cold_until(server, spec.cold_start_s)
+
+    def _next_cold_end(self, now: float) -> float:
+        ends = (self._cold_until(each.id) for each in self.fleet.all_instances())
+        return min((end for end in ends if end > now), default=float("inf"))
+
     def avoid(self, server: InstanceId, now: float) -> None:
         """Send nothing to a server for the next `AVOID_DURATION_S` seconds."""
         self._avoided_until[server] = now + AVOID_DURATION_S
@@ -340,21 +371,27 @@
         rows = [(row.instance, row.in_flight, row.unread_tokens) for row in load.servers]
         self.load_tracker.set_peer_load(source, rows)
 
-    def _own_groups(self) -> tuple[GroupTarget, ...]:
+    def _own_groups(self, now: float) -> tuple[GroupTarget, ...]:
         return tuple(
-            self._group_target(group)
+            self._group_target(group, now)
             for group in assemble_groups(self.fleet.all_instances())
             if group.state is MemberState.OPEN and group.head not in self.fleet.unavailable_since
         )
 
-    def _group_target(self, group: ListedGroup) -> GroupTarget:
+    def _group_target(self, group: ListedGroup, now: float) -> GroupTarget:
         head = self.fleet.get(group.head)
         data_centre = DataCentre("") if head is None else head.data_centre
         return GroupTarget(
-            group.id, group.epoch, group.model, group.head, group.head_address, data_centre
+            group.id,
+            group.epoch,
+            group.model,
+            group.head,
+            group.head_address,
+            data_centre,
+            self.is_cold(group.head, now),
         )
 
-    def _own_servers(self) -> tuple[PlainServerTarget, ...]:
+    def _own_servers(self, now: float) -> tuple[PlainServerTarget, ...]:
         return tuple(
             PlainServerTarget(
                 listed_instance.id,
@@ -362,6 +399,7 @@
                 listed_instance.address,
                 listed_instance.data_centre,
                 listed_instance.slots,
+                self.is_cold(listed_instance.id, now),
             )
             for listed_instance in self.fleet.all_instances()
             if listed_instance.state is InstanceState.READY
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from briarpond.directory import GroupTarget
-from briarpond.dispatch import RequestSize, expected_first_event_s, subset_size
+from briarpond.dispatch import ColdSends, RequestSize, expected_first_event_s, subset_size
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.net import Address
 from briarpond.routes import EngineSpec, ModelName, ModelSpec
@@ -40,6 +40,10 @@
         Whether the server may be sent another request now.
     epoch : int
         Epoch of the group; 0 for plain servers.
+    is_held_back : bool
+        Whether it has no room only because it is cold and no request is due yet.
+    is_cold_detour : bool
+        Whether another server was held back.
     """
 
     instance: InstanceId
@@ -47,6 +51,8 @@
     expected_s: float
     has_room: bool
     epoch: int = 0
+    is_held_back: bool = False
+    is_cold_detour: bool = False
 
 
 class AllBut(Container[InstanceId]):
@@ -111,12 +117,33 @@
         _rate_group(state, engine, spec, request_size, group, now)
         for group in state.group_preferences.sort(usable_groups)
     ]
+    choices = _hold_back_cold(state.cold_sends(now), choices, now)
     with_room = [choice for choice in choices if choice.has_room]
     if not with_room:
         return min(choices, key=lambda choice: choice.expected_s, default=None)
     preferred = with_room[: subset_size(len(usable_groups), state.node_count)]
     sampled = state.rng.sample(preferred, min(len(preferred), COMPARED_GROUPS))
-    return min(sampled, key=lambda choice: _cost(state, choice))
+    best = min(sampled, key=lambda choice: _cost(state, choice))
+    return _mark_detour(best) if any(choice.is_held_back for choice in choices) else best
+
+
+def _hold_back_cold(
+    sends: ColdSends, choices: list[ServerChoice], now: float
+) -> list[ServerChoice]:
+    """Return the choices without room at the cold servers to which no request is due."""
+    only_cold = all(sends.is_cold(choice.instance) for choice in choices)
+    return [
+        (
+            choice
+            if not choice.has_room or sends.may_send(choice.instance, now, only_cold)
+            else msgspec.structs.replace(choice, has_room=False, is_held_back=True)
+        )
+        for choice in choices
+    ]
+
+
+def _mark_detour(choice: ServerChoice) -> ServerChoice:
+    return msgspec.structs.replace(choice, is_cold_detour=True)
 
 
 def _cost(state: NodeState, choice: ServerChoice) -> float:
@@ -170,20 +197,33 @@
         The best server, which may have no room; None if no server is left.
     """
     best: ServerChoice | None = None
-    best_rank: tuple[float, bool, float] = (0.0, False, 0.0)
-    for target in state.servers(now):
+    best_rank: tuple[bool, float, bool, float] = (False, 0.0, False, 0.0)
+    usable = [
+        target
+        for target in state.servers(now)
+        if target.service == service
+        and target.instance not in tried
+        and not state.has_left(target.instance, now)
+        and not state.is_avoided(target.instance, now)
+    ]
+    cold_sends = state.cold_sends(now)
+    only_cold = all(cold_sends.is_cold(target.instance) for target in usable)
+    has_held_back = False
+    for target in usable:
         server = target.instance
-        if target.service != service or server in tried or state.has_left(server, now):
-            continue
-        if state.is_avoided(server, now):
-            continue
         load = state.load_tracker.total_load(server)
         full = state.load_tracker.is_full(server, now)
         has_room = not full and load.in_flight < target.slots + MAX_QUEUED_PER_SERVER
         is_remote = target.data_centre != state.settings.data_centre
         excess_load = max(0.0, load.in_flight - target.slots / 2)
-        rank = (excess_load + (target.slots if full else 0), is_remote, rng.random())
+        is_due = cold_sends.may_send(server, now, only_cold)
+        is_held_back = has_room and not is_due
+        has_held_back = has_held_back or is_held_back
+        rank = (not is_due, excess_load + (target.slots if full else 0), is_remote, rng.random())
         if best is None or rank < best_rank:
-            best = ServerChoice(server, target.address, 0.0, has_room)
+            best = ServerChoice(
+                server, target.address, 0.0, has_room and is_due, is_held_back=is_held_back
+            )
             best_rank = rank
-    return best
+    is_detour = has_held_back and best is not None and not best.is_held_back
+    return _mark_detour(best) if best is not None and is_detour else best
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -8,7 +8,11 @@
 from briarpond.directory import Plan, PlanLog, RoutingTargets
 from briarpond.fleet import FleetView
 from briarpond.gateway._planner_link import PlannerRunner
+from briarpond.platform import decode_configuration, decode_instance
+from briarpond.platform._settings import ColdBound
+from briarpond.routes import RouteTable
 
+from ..platform_samples import CONFIG, config_bytes, server_bytes
 from .world import Gateway, make_instance
 
 
@@ -199,3 +203,25 @@
     gateway.members.planning_ended_at = {"n2": gateway.clock.now() - 5.0}.get
     state.planner_heard(gateway.clock.now() + 0.3)
     assert not step_after(node, 0.5)
+
+
+def test_plan_says_that_a_server_is_cold_until_its_time_is_over(node):
+    """Guards against nodes that follow the plan and use a cold server like any other."""
+    gateway, _ = node
+    state = gateway.state
+    bounds = msgspec.structs.replace(state.settings.bounds, cold=ColdBound(1.5, 5.0))
+    state.settings = msgspec.structs.replace(state.settings, bounds=bounds)
+    services = [{**each, "coldPerS": 26.0} for each in CONFIG["services"]]
+    state.route_table = RouteTable(decode_configuration(config_bytes(services=services)).ok)
+    step_after(node, 0.5)
+    entry = server_bytes(service="desk", addr="10.9.0.1:80", group=None, coldLeftMs=2000)
+    state.fleet.put(decode_instance("p0", entry).ok, gateway.clock.now())
+    step_after(node, 0.1)
+    changed = gateway.announced[-1].servers
+    assert [(each.instance, each.cold) for each in changed] == [("p0", True)]
+    count = len(gateway.announced)
+    step_after(node, 1.8)
+    assert len(gateway.announced) == count
+    step_after(node, 0.2)
+    changed = gateway.announced[-1].servers
+    assert [(each.instance, each.cold) for each in changed] == [("p0", False)]
