--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -8,9 +8,11 @@
 from briarpond.directory import Plan, PlanLog, RoutingTargets
 from briarpond.fleet import FleetView
 from briarpond.gateway._planner_link import PlannerRunner
-from briarpond.platform import decode_instance
+from briarpond.platform import decode_configuration, decode_instance
+from briarpond.platform._settings import ColdBound
+from briarpond.routes import RouteTable
 
-from ..platform_samples import server_bytes
+from ..platform_samples import CONFIG, config_bytes, server_bytes
 from .world import Gateway, make_instance
 
 
@@ -249,3 +251,25 @@
     state.evacuated = frozenset()
     step_after(node, 0.1)
     assert [each.head for each in plan_log.targets.groups] == ["m0"] and orders == []
+
+
+def test_plan_says_that_a_server_is_cold_until_its_time_is_over(node):
+    """Guards against nodes that follow the plan and use a cold server like any other."""
+    gateway, _ = node
+    state = gateway.state
+    bounds = msgspec.structs.replace(state.settings.bounds, cold=ColdBound(1.5, 5.0))
+    state.settings = msgspec.structs.replace(state.settings, bounds=bounds)
+    services = [{**each, "coldPerS": 26.0} for each in CONFIG["services"]]
+    state.route_table = RouteTable(decode_configuration(config_bytes(services=services)).ok)
+    step_after(node, 0.5)
+    entry = server_bytes(service="desk", addr="10.9.0.1:80", group=None, coldLeftMs=2000)
+    state.fleet.put(decode_instance("p0", entry).ok, gateway.clock.now())
+    step_after(node, 0.1)
+    changed = gateway.announced[-1].servers
+    assert [(each.instance, each.cold) for each in changed] == [("p0", True)]
+    count = len(gateway.announced)
+    step_after(node, 1.8)
+    assert len(gateway.announced) == count
+    step_after(node, 0.2)
+    changed = gateway.announced[-1].servers
+    assert [(each.instance, each.cold) for each in changed] == [("p0", False)]
