--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -21,6 +21,8 @@
 
     Attributes
     ----------
+    data_centre : str
+        Data centre that its entry in the instance list names.
     domain : str or None
         Fabric domain of an engine, None for a plain server.
     group : dict or None
@@ -39,6 +41,7 @@
         Sequence number of its newest entry in the instance list.
     """
 
+    data_centre = "z"
     instance_numbers = itertools.count(1)
 
     def __init__(self, soak, service: str, domain: str | None = None) -> None:
@@ -69,7 +72,7 @@
         entry = {
             "service": self.service,
             "addr": f"127.0.0.1:{self.port}",
-            "zone": "z",
+            "zone": self.data_centre,
             "slots": 9,
             "state": self.listed_state,
             "seq": self.entry_number,
