A gap in the operator's records is followed by a read after a pause

Cause: while the store answers some reads from an older view than others, a gap and an outdated list could alternate without a pause between the reads.

Change: the read of the whole list after a gap waits RETRY_DELAY_S.

--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_store_link.py
@@ -289,6 +289,10 @@
         self._on_success()
         if entries:
             self._on_entries(entries)
+        if self._state is _FeedState.SNAPSHOT:
+            # Answers that contradict each other must not lead to reads without a pause.
+            self._next_delay_s = RETRY_DELAY_S
+            return
         if has_more:
             # Only the end of the topic shows what is known; the rest is read at once.
             return
@@ -296,7 +300,7 @@
             self._next_delay_s = self._pause_s()
         if page.end_offset < self._reached():
             self._next_delay_s = max(self._next_delay_s, RETRY_DELAY_S)
-        elif self._state is _FeedState.TAIL:
+        else:
             self.confirm(confirmed_until)
 
     def _on_success(self) -> None:
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -551,3 +551,24 @@
     )
     Node._on_evacuation(node)
     assert done == [each for each in ("retry_held", "step", "announce") if each != failing]
+
+
+@pytest.mark.parametrize("is_gap", [True, False])
+def test_answers_that_contradict_each_other_are_read_with_pauses(world, is_gap):
+    """Guards against calls without a pause while some answers of the store are outdated."""
+    world.start("a")
+    world.log.evacuate("north")
+    world.clock.advance(0.5)
+    if is_gap:
+        world.log.evacuate("east")
+        world.log.evacuate("west")
+        world.log.compact(first_kept=3)
+        world.keepers["a"]._position = 2
+        world.log._newest = lambda: b'{"entries":[],"hasMore":false,"end":1}'
+        world.log.append("other", b"1")
+    else:
+        world.log.visible = 1
+    calls = world.log.calls
+    world.clock.advance(5.0)
+    assert world.log.calls - calls < 5.0 / 0.1
+    assert world.states["a"].evacuated >= {"north"}
