--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -99,7 +99,8 @@
 def test_only_the_adapter_knows_the_names_of_the_platform():
     """Names of the platform's interfaces occur in `briarpond/platform` only."""
     names = re.compile(
-        r"X-Briarpond-|x-briarpond-|kvUsed|coldLeftMs|coldPerS|coldStartS|coldOverage|coldSlack|pathPrefix|gapGoalMs|log-append|log-newest"
+        r"X-Briarpond-|x-briarpond-|kvUsed|pathPrefix|gapGoalMs|log-append|log-newest"
+        r"|coldLeftMs|coldPerS|coldStartS|coldOverage|coldSlack"
         r"|keyed\.(op|servers|status)|formMs|BRIARPOND_SETTINGS|closeMode"
     )
     files_with_names = [
