--- a/briarpond/net/__init__.py
+++ b/briarpond/net/__init__.py
@@ -5,9 +5,18 @@
 """
 
 from ._address import Address, is_ipv4
+from ._body_budget import (
+    BODY_BUDGET_SHARE,
+    BODY_IDLE_TIMEOUT_S,
+    COPIES,
+    DEFAULT_BODY_BUDGET_BYTES,
+    BodyBudget,
+    choose_stalled,
+)
+from ._body_reading import BodyReading
 from ._caller_connection import CallerConnection
 from ._clock import Clock, Timer
-from ._connection_end import CloseReason, ConnectionEnd, ConnectionPhase
+from ._connection_end import BodyRefusal, CloseReason, ConnectionEnd, ConnectionPhase
 from ._guard import run_guarded
 from ._headers import Headers, find_header, parse_count
 from ._http_client import CallState, Exchange, HttpCall, HttpClient
@@ -19,10 +28,17 @@
 from ._media_type import media_type
 from ._outbound import Connection, ConnectionCallbacks, Connector
 from ._poller import DirectPoller
+from ._read_allowance import RECEIVE_BYTES, ReadAllowance
 from ._sentinel import EXIT_BROKEN_INVARIANT, UncaughtExceptionHandler
 
 __all__ = [
     "Address",
+    "BODY_BUDGET_SHARE",
+    "BODY_IDLE_TIMEOUT_S",
+    "BodyBudget",
+    "BodyReading",
+    "BodyRefusal",
+    "COPIES",
     "CallState",
     "CallerConnection",
     "Clock",
@@ -32,6 +48,7 @@
     "ConnectionEnd",
     "ConnectionPhase",
     "Connector",
+    "DEFAULT_BODY_BUDGET_BYTES",
     "DirectPoller",
     "EXIT_BROKEN_INVARIANT",
     "Exchange",
@@ -43,10 +60,13 @@
     "HttpReply",
     "HttpRequest",
     "LossReason",
+    "RECEIVE_BYTES",
+    "ReadAllowance",
     "UncaughtExceptionHandler",
     "TcpListener",
     "Timer",
     "is_ipv4",
+    "choose_stalled",
     "find_header",
     "media_type",
     "parse_count",
