--- a/tests/gateway/test_cold_servers.py
+++ b/tests/gateway/test_cold_servers.py
@@ -11,7 +11,7 @@
 from briarpond.dispatch._cold import choose_pace, choose_senders, hash_share
 from briarpond.gateway import _cold_link
 from briarpond.gateway._node import Node
-from briarpond.net import Address
+from briarpond.net import Address, BodyBudget
 from briarpond.platform import decode_configuration, decode_instance
 from briarpond.platform._settings import ColdBound
 from briarpond.routes import RouteTable
@@ -361,7 +361,9 @@
     gateway.state.cold_link.update_nodes(frozenset([OWN]), now)
     gateway.publish(cold=[MINE])
     peers = SimpleNamespace(sync=SimpleNamespace(members=members))
-    node = SimpleNamespace(state=gateway.state, _clock=gateway.clock, _peers=peers)
+    node = SimpleNamespace(
+        state=gateway.state, _clock=gateway.clock, _peers=peers, _body_budget=BodyBudget()
+    )
     assert not gateway.state.cold_link.sends.may_send(MINE, gateway.clock.now())
     Node._run_housekeeping(node)
     gateway.clock.advance(INTERVAL_S)
