--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -247,6 +247,7 @@
                 each.instance,
                 min(each.in_flight, MAX_COUNT),
                 min(each.unread_tokens, MAX_COUNT),
+                None if each.unwritten_tokens is None else min(each.unwritten_tokens, MAX_COUNT),
             )
             for each in load.servers
         ],
@@ -257,7 +258,12 @@
 def _load_from_wire(wire: ttypes.Load) -> Load:
     return Load(
         tuple(
-            ServerInFlight(InstanceId(each.instance), each.in_flight, each.unread_tokens)
+            ServerInFlight(
+                InstanceId(each.instance),
+                each.in_flight,
+                each.unread_tokens,
+                each.unwritten_tokens,
+            )
             for each in wire.servers
         ),
         tuple(ModelDemand(ModelName(each.model), each.groups) for each in wire.demand),
--- a/briarpond/directory/_loads.py
+++ b/briarpond/directory/_loads.py
@@ -71,21 +71,46 @@
 
 def sum_loads(loads: Iterable[Load]) -> Load:
     """Return the sum of loads, by server and by model."""
-    servers: dict[InstanceId, list[int]] = {}
+    servers: dict[InstanceId, ServerInFlight] = {}
     demand: dict[ModelName, float] = {}
     for load in loads:
         for row in load.servers:
-            total = servers.setdefault(row.instance, [0, 0])
-            total[0] += row.in_flight
-            total[1] += row.unread_tokens
+            total = servers.get(row.instance)
+            servers[row.instance] = row if total is None else _add_rows(total, row)
         for each in load.demand:
             demand[each.model] = demand.get(each.model, 0.0) + each.groups
     return Load(
-        tuple(ServerInFlight(name, *total) for name, total in servers.items()),
+        tuple(servers.values()),
         tuple(ModelDemand(model, groups) for model, groups in demand.items()),
     )
 
 
+def _add_rows(one: ServerInFlight, other: ServerInFlight) -> ServerInFlight:
+    """Return the sum of two loads of a server; unwritten tokens are told only if both do."""
+    unwritten = None
+    if one.unwritten_tokens is not None and other.unwritten_tokens is not None:
+        unwritten = one.unwritten_tokens + other.unwritten_tokens
+    return ServerInFlight(
+        one.instance,
+        one.in_flight + other.in_flight,
+        one.unread_tokens + other.unread_tokens,
+        unwritten,
+    )
+
+
+def _subtract_row(total: ServerInFlight, part: ServerInFlight) -> ServerInFlight:
+    """Return a load of a server without a part of it; no count is negative."""
+    unwritten = total.unwritten_tokens
+    if unwritten is not None:
+        unwritten = max(0, unwritten - (part.unwritten_tokens or 0))
+    return ServerInFlight(
+        total.instance,
+        max(0, total.in_flight - part.in_flight),
+        max(0, total.unread_tokens - part.unread_tokens),
+        unwritten,
+    )
+
+
 def subtract_load(total: Load, part: Load) -> Load:
     """Return a sum of loads without one that it contains."""
     servers = {row.instance: row for row in part.servers}
@@ -94,10 +119,7 @@
     for row in total.servers:
         own = servers.get(row.instance)
         if own is not None:
-            in_flight = max(0, row.in_flight - own.in_flight)
-            row = ServerInFlight(
-                row.instance, in_flight, max(0, row.unread_tokens - own.unread_tokens)
-            )
+            row = _subtract_row(row, own)
         if row.in_flight:
             rows.append(row)
     return Load(
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -22,11 +22,14 @@
         Number of requests sent that have not ended.
     unread_tokens : int
         Prompt tokens of those that have not sent their first event.
+    unwritten_tokens : int or None
+        Tokens that their answers are expected to have yet; None if a node does not tell them.
     """
 
     instance: InstanceId
     in_flight: int
     unread_tokens: int
+    unwritten_tokens: int | None = None
 
 
 class ModelDemand(msgspec.Struct, frozen=True):
--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -2,9 +2,10 @@
 
 from ._admission import AdmissionAction, AdmissionDecision, decide_admission
 from ._budget import SharedRetryBudget
-from ._events import DamagedEventError, ResumableEventSplitter, has_fields
-from ._load import InFlightLoad, LoadTracker
-from ._pace import EventGapTracker
+from ._cost import AnswerLengths, LengthForecast
+from ._events import DamagedEventError, ResumableEventSplitter, count_events, has_fields
+from ._load import InFlightLoad, LoadRow, LoadTracker
+from ._pace import EventGapTracker, StepPaces
 from ._recovery import (
     MAX_SENDS_OF_BEGUN_STREAM,
     MIN_REMAINING_S,
@@ -16,7 +17,14 @@
     may_hedge,
 )
 from ._resume_pause import ResumePause
-from ._speed import RequestSize, expected_first_event_s, slot_occupancy_s
+from ._speed import (
+    GroupEstimate,
+    RequestSize,
+    decode_step_s,
+    estimate_in_group,
+    expected_first_event_s,
+    slot_occupancy_s,
+)
 from ._subset import GroupPreferences, subset_size
 
 __all__ = [
@@ -24,10 +32,14 @@
     "MIN_REMAINING_S",
     "AdmissionAction",
     "AdmissionDecision",
+    "AnswerLengths",
     "DamagedEventError",
     "EventGapTracker",
+    "GroupEstimate",
     "GroupPreferences",
     "InFlightLoad",
+    "LengthForecast",
+    "LoadRow",
     "LoadTracker",
     "RecoveryAction",
     "RequestSize",
@@ -36,8 +48,12 @@
     "SendFailure",
     "SendProgress",
     "SharedRetryBudget",
+    "StepPaces",
+    "count_events",
     "decide_admission",
     "decide_recovery",
+    "decode_step_s",
+    "estimate_in_group",
     "expected_first_event_s",
     "has_fields",
     "may_await_server",
--- a/briarpond/dispatch/_events.py
+++ b/briarpond/dispatch/_events.py
@@ -20,6 +20,11 @@
     return any(line and not line.startswith(b":") for line in events.split(b"\n"))
 
 
+def count_events(events: bytes) -> int:
+    """Return how many complete events have a field; comments alone are no event."""
+    return sum(has_fields(event) for event in events.split(_EVENT_TERMINATOR))
+
+
 class ResumableEventSplitter:
     """Holds back the bytes of an incomplete event until the event is complete.
 
--- a/briarpond/dispatch/_pace.py
+++ b/briarpond/dispatch/_pace.py
@@ -5,6 +5,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Container
 from statistics import median
 
 import msgspec
@@ -22,6 +23,12 @@
 SLOW_GAP_FACTOR = 2.5
 # Seconds after its last event after which the mean gap of a head is discarded.
 MAX_SAMPLE_AGE_S = 2.0
+# Least weight of the newest gap in the pace of a head: an answer has some twenty gaps.
+PACE_SMOOTHING_FACTOR = 0.05
+# Time without gaps after which the logarithm of a pace has halved.
+PACE_HALF_LIFE_S = 10.0
+# Largest factor by which a group counts as slower or faster than its peers.
+MAX_PACE = 8.0
 
 
 class _HeadGap(msgspec.Struct):
@@ -78,3 +85,74 @@
             median_gap_s = median(mean_s for _, mean_s in gaps)
             slow += [head for head, mean_s in gaps if mean_s > SLOW_GAP_FACTOR * median_gap_s]
         return slow
+
+
+class _HeadPace(msgspec.Struct):
+    """Moving average of the gaps of one head, in multiples of the expected step.
+
+    Attributes
+    ----------
+    model : ModelName
+        Model that the group of the head hosts.
+    mean : float
+        Moving average.
+    samples : int
+        Gaps that went into the average.
+    updated_at : float
+        Monotonic time of the last one.
+    """
+
+    model: ModelName
+    mean: float
+    samples: int
+    updated_at: float
+
+
+class StepPaces:
+    """Step times of groups, as multiples of those of their peers.
+
+    A gap is compared with the step that the configured figures give for the requests in flight,
+    so that a full group does not look slow. Events hold the same number of tokens everywhere,
+    which cancels out.
+    """
+
+    def __init__(self) -> None:
+        self._heads: dict[InstanceId, _HeadPace] = {}
+
+    def record_gap(
+        self, head: InstanceId, model: ModelName, gap_s: float, expected_step_s: float, now: float
+    ) -> None:
+        """Record the time between two events where a decode step is expected to take a time."""
+        multiple = gap_s / max(expected_step_s, 1e-6)
+        pace = self._heads.get(head)
+        if pace is None or pace.model != model:
+            self._heads[head] = _HeadPace(model, multiple, 1, now)
+            return
+        weight = max(PACE_SMOOTHING_FACTOR, 1 / (pace.samples + 1))
+        pace.mean += weight * (multiple - pace.mean)
+        pace.samples += 1
+        pace.updated_at = now
+
+    def pace(self, head: InstanceId, now: float) -> float:
+        """Return the step time of a head's group in multiples of the median of its model.
+
+        It is 1 while too little is known, and returns to 1 when no gaps are measured, so that a
+        group is tried again.
+        """
+        own = self._heads.get(head)
+        if own is None or own.samples < MIN_SAMPLES:
+            return 1.0
+        means = [
+            each.mean
+            for each in self._heads.values()
+            if each.model == own.model and each.samples >= MIN_SAMPLES
+        ]
+        if len(means) < MIN_COMPARED_HEADS:
+            return 1.0
+        ratio = own.mean / median(means)
+        trust = 0.5 ** ((now - own.updated_at) / PACE_HALF_LIFE_S)
+        return float(min(MAX_PACE, max(1 / MAX_PACE, ratio)) ** trust)
+
+    def prune(self, heads: Container[InstanceId]) -> None:
+        """Forget the heads that are not in `heads`."""
+        self._heads = {head: pace for head, pace in self._heads.items() if head in heads}
--- a/briarpond/dispatch/_speed.py
+++ b/briarpond/dispatch/_speed.py
@@ -4,6 +4,8 @@
 
 from briarpond.routes import EngineSpec, ModelSpec
 
+from ._load import InFlightLoad
+
 
 class RequestSize(msgspec.Struct, frozen=True):
     """Size of a model request.
@@ -90,3 +92,73 @@
         + step
         + queue_position * slot_occupancy_s(engine, spec, mean_request) / engine.slots
     )
+
+
+class GroupEstimate(msgspec.Struct, frozen=True):
+    """What a request would take in a group, and what it would cost the others there.
+
+    Attributes
+    ----------
+    first_event_s : float
+        Expected seconds to the first event of the request.
+    slowdown_s : float
+        Expected seconds by which the requests that run already end later since this one decodes
+        beside them, all together.
+    """
+
+    first_event_s: float
+    slowdown_s: float
+
+
+def estimate_in_group(
+    engine: EngineSpec,
+    spec: ModelSpec,
+    request: RequestSize,
+    load: InFlightLoad,
+    pace: float = 1.0,
+) -> GroupEstimate:
+    """Estimate the time to the first event of a request, and the slowdown of the others.
+
+    Where the unwritten tokens of the group are known they replace the mean request in the wait
+    for a slot of a full group. While this request and another one both decode, each delays
+    the other by the time per request of each step.
+
+    Parameters
+    ----------
+    engine : EngineSpec
+        Figures of the engine.
+    spec : ModelSpec
+        Model that the group hosts.
+    request : RequestSize
+        Size of the request; its answer has the expected length.
+    load : InFlightLoad
+        Load of the group.
+    pace : float
+        Measured step time of the group in multiples of that of its peers.
+    """
+    running = min(load.in_flight, engine.slots)
+    own_prefill = prefill_s(engine, spec, request.prompt_tokens)
+    ahead = prefill_s(engine, spec, load.unread_tokens)
+    step = decode_step_s(engine, spec, min(running + 1, engine.slots))
+    per_request = decode_step_s(engine, spec, 2) - decode_step_s(engine, spec, 1)
+    unwritten = load.unwritten_tokens
+    if unwritten is None:
+        unwritten = load.in_flight * engine.mean_answer_tokens
+    first_event = own_prefill + ahead + step + _slot_wait_s(engine, spec, load, unwritten)
+    # Every other request decodes beside this one until the shorter of the two has ended.
+    shared_tokens = min(unwritten, running * request.answer_tokens)
+    return GroupEstimate(pace * first_event, pace * per_request * shared_tokens)
+
+
+def _slot_wait_s(
+    engine: EngineSpec, spec: ModelSpec, load: InFlightLoad, unwritten: float
+) -> float:
+    """Return the expected wait for a slot; 0 if one is free.
+
+    The slots become free evenly over the time that the mean unwritten answer takes.
+    """
+    queue_position = load.in_flight - engine.slots + 1
+    if queue_position <= 0:
+        return 0.0
+    mean_left = RequestSize(0, max(1, round(unwritten / load.in_flight)))
+    return queue_position * slot_occupancy_s(engine, spec, mean_left) / engine.slots
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -229,6 +229,28 @@
     assert set(subtract_load(sum_loads([LOAD, other]), LOAD).servers) == set(other.servers)
 
 
+def test_unwritten_tokens_are_summed_relayed_and_sent():
+    """Relays must not lose what nodes tell of their answers under way."""
+    one = Load((ServerInFlight("i", 3, 400, 900),), ())
+    other = Load((ServerInFlight("i", 2, 100, 50), ServerInFlight("j", 1, 0, 7)), ())
+    total = sum_loads([one, other])
+    assert total.servers == (ServerInFlight("i", 5, 500, 950), ServerInFlight("j", 1, 0, 7))
+    assert set(subtract_load(total, one).servers) == set(other.servers)
+    pull = Pull(member("1"), 123, 5, 9, PlanVersion(3, 8), 4, total)
+    assert decode_datagram(encode_datagram(pull)).ok.load == total
+
+
+def test_unwritten_tokens_of_a_sum_are_unknown_if_a_node_does_not_tell_its_own():
+    """During an update, a part of the sum would make a busy group look idle."""
+    one = Load((ServerInFlight("i", 3, 400, 900),), ())
+    old = Load((ServerInFlight("i", 2, 100),), ())
+    assert sum_loads([one, old]).servers == (ServerInFlight("i", 5, 500, None),)
+    assert sum_loads([old, one]).servers == (ServerInFlight("i", 5, 500, None),)
+    pull = Pull(member("1"), 123, 5, 9, PlanVersion(3, 8), 4, old)
+    decoded = decode_datagram(encode_datagram(pull)).ok
+    assert decoded.load.servers[0].unwritten_tokens is None
+
+
 def make_sync(own, on_load=lambda source, load: None, is_first_start=False):
     nothing = SyncCallbacks(
         own_load=lambda now: Load(),
--- a/tests/gateway/silent_servers.py
+++ b/tests/gateway/silent_servers.py
@@ -22,7 +22,7 @@
 def own_load(gateway):
     """Return the requests and unread tokens of this node at all its servers."""
     rows = gateway.state.load_tracker.own_load_rows()
-    return {server: (in_flight, tokens) for server, in_flight, tokens in rows}
+    return {row.server: (row.in_flight, row.unread_tokens) for row in rows}
 
 
 def begin_answer(sent, *events):
