Groups are chosen by the predicted cost of a request

Cause: the choice by the first event alone counts unread prompts of other nodes that have been read since, and knows neither slow groups nor how long the answers under way will go on.

Change: each send counts the tokens that its answer is expected to have yet, and whole answers teach their length. Once a route has learned, groups are compared by first event at their measured pace, without the unread prompts in reports that are 0.2 to 0.8 s old, and by the slowdown of running requests. With nothing learned, or fewer than 0.9 of the groups with room, the choice is as before. The request's line has expected_tokens and seen_tokens; a histogram has the error.

--- a/briarpond/gateway/_caller_request.py
+++ b/briarpond/gateway/_caller_request.py
@@ -48,6 +48,8 @@
         Most tokens of the answer; 0 if not known.
     prompt_parts : tuple of PromptPart
         Parts of the prompt.
+    length_hint : int or None
+        Tokens of the answer that the caller expects; None if it gives no number.
     """
 
     http: HttpRequest
@@ -57,6 +59,7 @@
     size: RequestSize
     max_answer_tokens: int
     prompt_parts: tuple[PromptPart, ...]
+    length_hint: int | None = None
 
 
 def read_caller_request(http: HttpRequest, timeout_s: float) -> CallerRequest:
@@ -85,6 +88,7 @@
         RequestSize(prompt_tokens, max_answer_tokens if hint is None else hint),
         max_answer_tokens,
         parse_prompt_parts(http.header(PlatformHeader.PROMPT_PARTS)),
+        hint,
     )
 
 
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -5,6 +5,7 @@
 # Upper bounds of the histogram buckets, in seconds.
 _BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.91, 2.0, 4.0, 8.0)
 _TURN_BUCKETS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0)
+_ERROR_BUCKETS_TOKENS = (10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0)
 
 
 class GatewayMetrics:
@@ -72,6 +73,12 @@
             "Log lines that the output did not take.",
             registry=self.registry,
         )
+        self.cost_error = Histogram(
+            "briarpond_gateway_cost_error_tokens",
+            "Difference between the expected and the seen tokens of whole answers, by route.",
+            buckets=_ERROR_BUCKETS_TOKENS,
+            registry=self.registry,
+        )
 
         self.loop_turns = Histogram(
             "briarpond_gateway_loop_turn_seconds",
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -468,4 +468,6 @@
         state.node_count = self._peers.sync.members.count_nodes(now)
         listed = {listed_instance.id for listed_instance in state.fleet.all_instances()}
         state.load_tracker.prune(listed)
-        state.group_preferences.prune({target.head for target in state.groups(now)})
+        heads = {target.head for target in state.groups(now)}
+        state.group_preferences.prune(heads)
+        state.step_paces.prune(heads)
--- a/briarpond/gateway/_outcome.py
+++ b/briarpond/gateway/_outcome.py
@@ -98,6 +98,8 @@
         sends=sends.sent,
         first_ms=-1 if first_byte_at is None else int((first_byte_at - read_at) * 1000),
         ms=int((now - read_at) * 1000),
+        expected_tokens=round(context.cost.expected_tokens),
+        seen_tokens=round(context.cost.seen_tokens),
         part=ending.quarantined_part or "-",
         config=state.config.version if state.config else 0,
     )
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -4,12 +4,14 @@
 
 import msgspec
 
-from briarpond.dispatch import SendProgress, may_hedge
+from briarpond.dispatch import LengthForecast, SendProgress, decode_step_s, may_hedge
 from briarpond.ids import InstanceId, PromptPart, ServiceName
+from briarpond.platform import PlatformHeader
 from briarpond.quarantine import Block
-from briarpond.routes import Route, Tenant
+from briarpond.routes import EngineSpec, Route, Tenant
 
 from ._caller_request import CallerRequest
+from ._request_cost import RequestCost
 from ._state import NodeState
 from ._stopping import longest_duration_s
 from ._targets import ServerChoice, best_group, best_server
@@ -30,6 +32,8 @@
         Client account that the key of the request belongs to; None without a known key.
     caller : CallerRequest
         The request.
+    cost : RequestCost
+        Expected and seen length of the answer.
     """
 
     state: NodeState
@@ -37,6 +41,7 @@
     service: ServiceName
     tenant: Tenant | None
     caller: CallerRequest
+    cost: RequestCost = msgspec.field(default_factory=RequestCost)
 
     @property
     def runs_in_group(self) -> bool:
@@ -56,6 +61,41 @@
         engine = self.state.engine(self.service)
         return longest_duration_s(engine, caller.model, caller.size.prompt_tokens, answer_tokens)
 
+    def predict_cost(self, engine: EngineSpec, now: float) -> LengthForecast:
+        """Return the expected length of the answer, which is predicted at the first call."""
+        if self.cost.forecast is None:
+            self.cost.forecast = self.state.answer_lengths.predict(
+                self.service,
+                self.route.name,
+                self.caller.length_hint,
+                self.caller.max_answer_tokens,
+                engine.mean_answer_tokens,
+                now,
+            )
+        return self.cost.forecast
+
+    def record_step(self, server: InstanceId, gap_s: float, now: float) -> None:
+        """Compare the gap between two events of a group with its expected decode step."""
+        engine, model = self.state.engine(self.service), self.caller.model
+        spec = None if engine is None else engine.model(model)
+        if engine is None or spec is None:
+            return
+        running = min(self.state.load_tracker.total_load(server).in_flight, engine.slots)
+        step_s = decode_step_s(engine, spec, running)
+        self.state.step_paces.record_gap(server, model, gap_s, step_s, now)
+
+    def learn_cost(self, now: float) -> None:
+        """Learn from a whole answer that came as a stream from its first event on."""
+        forecast, events = self.cost.forecast, self.cost.events
+        is_partial = self.caller.http.header(PlatformHeader.LAST_EVENT_ID) is not None
+        if forecast is None or not events or is_partial:
+            return
+        lengths = self.state.answer_lengths
+        lengths.record(self.service, self.route.name, self.caller.length_hint, events, now)
+        if forecast.is_learned:
+            error = abs(self.cost.expected_tokens - self.cost.seen_tokens)
+            self.state.metrics.cost_error.observe({"route": self.route.name}, error)
+
     def quarantine_block(
         self, now: float, parts: tuple[PromptPart, ...] | None = None
     ) -> Block | None:
@@ -107,4 +147,5 @@
     if engine is None:
         return best_server(state, context.service, tried, now, state.rng)
     caller = context.caller
-    return best_group(state, engine, caller.model, caller.size, tried, now)
+    forecast = context.predict_cost(engine, now)
+    return best_group(state, engine, caller.model, caller.size, tried, now, forecast)
--- a/briarpond/gateway/_request_sends.py
+++ b/briarpond/gateway/_request_sends.py
@@ -144,8 +144,9 @@
         self.cancel(send)
 
     def record_answer(self, send: Send) -> None:
-        """End a send whose answer is complete."""
+        """End a send whose answer is complete, and learn its length."""
         self.open.remove(send)
+        self._context.learn_cost(self._context.state.clock.now())
         send.finish()
 
     def keep_only(self, send: Send, now: float) -> bool:
--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from briarpond.dispatch import DamagedEventError, SendFailure, has_fields
+from briarpond.dispatch import DamagedEventError, SendFailure, count_events
 from briarpond.ids import InstanceId
 from briarpond.logs import log_event
 from briarpond.net import Exchange, Headers, HttpCall, LossReason
@@ -17,6 +17,7 @@
 from ._answer_head import AnswerHead, read_answer_head
 from ._caller_request import forwarded_headers
 from ._request_context import RequestContext
+from ._request_cost import SendCost
 from ._send_state import SendState
 from ._targets import ServerChoice
 
@@ -112,6 +113,7 @@
         self._callbacks = callbacks
         self._exchange: Exchange | None = None
         self._prompt_tokens = context.caller.size.prompt_tokens
+        self._cost = SendCost(context.cost, False)
 
     @property
     def is_stream(self) -> bool:
@@ -130,7 +132,8 @@
         caller = self._caller
         now = self.progress.began_at
         guard = self._callbacks.guard
-        self._state.load_tracker.record_sent(self.server, self._prompt_tokens)
+        self._cost = SendCost(self._context.cost, last_event_id is not None)
+        self._state.load_tracker.record_sent(self.server, self._prompt_tokens, self._cost.unwritten)
         call = HttpCall(
             self._address,
             caller.http.method,
@@ -162,7 +165,7 @@
         self._mark_first_event()
         self.is_open = False
         self.buffer.clear()
-        self._state.load_tracker.record_end(self.server)
+        self._state.load_tracker.record_end(self.server, self._cost.unwritten)
 
     # Records
 
@@ -256,12 +259,12 @@
         if not self.buffer.may_keep_event():
             self._give_up_on_server("event_too_large", now)
             return
-        are_progress = has_fields(complete_events)
-        if are_progress:
-            self._record_progress(now)
+        event_count = count_events(complete_events)
+        if event_count:
+            self._record_progress(event_count, now)
             self._mark_first_event()
         if complete_events:
-            self._callbacks.on_events(self, complete_events, are_progress)
+            self._callbacks.on_events(self, complete_events, event_count > 0)
 
     def _give_up_on_server(self, reason: str, now: float) -> None:
         """End the send, since the server sends bytes that are no stream of events."""
@@ -290,12 +293,14 @@
 
     # Progress and load
 
-    def _record_progress(self, now: float) -> None:
+    def _record_progress(self, event_count: int, now: float) -> None:
         """Note that events have arrived; bytes that complete none are no progress."""
         if self.first_event_seen:
-            self._state.event_gap_tracker.record_gap(
-                self.server, self._caller.model, now - self.last_progress, now
-            )
+            gap_s = now - self.last_progress
+            self._state.event_gap_tracker.record_gap(self.server, self._caller.model, gap_s, now)
+            self._context.record_step(self.server, gap_s / event_count, now)
+        change = self._cost.add_events(event_count)
+        self._state.load_tracker.change_unwritten(self.server, change)
         if self.progress.events_began_at is None:
             self.progress.events_began_at = now
         self.last_progress = now
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -16,11 +16,14 @@
     ServerInFlight,
 )
 from briarpond.dispatch import (
+    AnswerLengths,
     EventGapTracker,
     GroupPreferences,
+    LoadRow,
     LoadTracker,
     RequestSize,
     SharedRetryBudget,
+    StepPaces,
     slot_occupancy_s,
 )
 from briarpond.fleet import FleetView, InstanceState, ListedGroup, MemberState, assemble_groups
@@ -87,6 +90,10 @@
         Order in which this node uses groups.
     event_gap_tracker : EventGapTracker
         Time between events of the streams of each head.
+    answer_lengths : AnswerLengths
+        Lengths of answers by service and route, learned from those that were whole.
+    step_paces : StepPaces
+        Step times of groups relative to those of their peers.
     kept_bytes : KeptBytes
         Memory that incomplete answers of servers take up.
     quarantine_link : QuarantineLink
@@ -118,6 +125,8 @@
         self.load_tracker = LoadTracker()
         self.group_preferences = GroupPreferences(settings.node, settings.data_centre)
         self.event_gap_tracker = EventGapTracker()
+        self.answer_lengths = AnswerLengths()
+        self.step_paces = StepPaces()
         self.metrics = GatewayMetrics()
         self.kept_bytes = KeptBytes()
         self.quarantine_link = QuarantineLink(
@@ -337,7 +346,10 @@
 
     def set_peer_load(self, source: str, load: Load) -> None:
         """Replace the requests in flight that another node or a relay reported."""
-        rows = [(row.instance, row.in_flight, row.unread_tokens) for row in load.servers]
+        rows = [
+            LoadRow(row.instance, row.in_flight, row.unread_tokens, row.unwritten_tokens)
+            for row in load.servers
+        ]
         self.load_tracker.set_peer_load(source, rows)
 
     def _own_groups(self) -> tuple[GroupTarget, ...]:
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -1,12 +1,19 @@
 """Choice of the backend server that a request is sent to."""
 
 import random
-from collections.abc import Collection, Container
+from collections.abc import Collection, Container, Sized
+from functools import partial
 
 import msgspec
 
 from briarpond.directory import GroupTarget
-from briarpond.dispatch import RequestSize, expected_first_event_s, subset_size
+from briarpond.dispatch import (
+    LengthForecast,
+    RequestSize,
+    estimate_in_group,
+    expected_first_event_s,
+    subset_size,
+)
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.net import Address
 from briarpond.routes import EngineSpec, ModelName, ModelSpec
@@ -23,6 +30,12 @@
 # What a new connection is taken to cost, as a delay of the first event. It makes a node keep to
 # groups that it is connected to while others are hardly faster.
 CONNECT_COST_S = 0.02
+# What a second counts by which running requests are delayed, in seconds of the first event. With
+# 0.03 and more, first events were later (benchmarks/choice.py).
+SLOWDOWN_WEIGHT = 0.003
+# Share of the groups of a model that must have room for a choice by cost. With fewer the system is
+# overloaded, and in benchmarks/choice.py fewer answers were in time than by the first event alone.
+MIN_SHARE_WITH_ROOM = 0.9
 
 
 class ServerChoice(msgspec.Struct, frozen=True):
@@ -40,6 +53,9 @@
         Whether the server may be sent another request now.
     epoch : int
         Epoch of the group; 0 for plain servers.
+    slowdown_s : float
+        Expected delay of the requests that run there already, all together; 0 for plain servers
+        and while nothing is learned of answers.
     """
 
     instance: InstanceId
@@ -47,6 +63,7 @@
     expected_s: float
     has_room: bool
     epoch: int = 0
+    slowdown_s: float = 0.0
 
 
 class AllBut(Container[InstanceId]):
@@ -72,9 +89,13 @@
     request_size: RequestSize,
     tried: Container[InstanceId],
     now: float,
+    forecast: LengthForecast | None = None,
 ) -> ServerChoice | None:
     """Return the group that is expected to send its first event soonest.
 
+    Once lengths of answers are learned, the delay of the requests that run already and the
+    measured pace of the groups count, too.
+
     Parameters
     ----------
     state : NodeState
@@ -89,6 +110,8 @@
         Heads that the request was sent to before; they are left out.
     now : float
         Present time.
+    forecast : LengthForecast or None
+        Expected length of the answer; it counts if it is learned.
 
     Returns
     -------
@@ -107,22 +130,31 @@
         and not state.has_left(group.head, now)
         and not state.is_avoided(group.head, now)
     ]
-    choices = [
-        _rate_group(state, engine, spec, request_size, group, now)
-        for group in state.group_preferences.sort(usable_groups)
-    ]
-    with_room = [choice for choice in choices if choice.has_room]
+    preferred_groups = state.group_preferences.sort(usable_groups)
+    with_room = [each for each in preferred_groups if _has_room(state, engine, each.head, now)]
+    if forecast is None or not forecast.is_learned or not _is_calm(with_room, usable_groups):
+        rate = partial(_rate_group, state, engine, spec, request_size)
+    else:
+        rate = partial(_rate_by_cost, state, engine, spec, request_size, forecast)
     if not with_room:
+        choices = [rate(group, False) for group in preferred_groups]
         return min(choices, key=lambda choice: choice.expected_s, default=None)
     preferred = with_room[: subset_size(len(usable_groups), state.node_count)]
     sampled = state.rng.sample(preferred, min(len(preferred), COMPARED_GROUPS))
-    return min(sampled, key=lambda choice: _cost(state, choice))
+    choices = [rate(group, True) for group in sampled]
+    return min(choices, key=lambda choice: _cost(state, choice))
 
 
 def _cost(state: NodeState, choice: ServerChoice) -> float:
-    """Return the expected time to the first event, with the cost of a new connection."""
+    """Return the time to the first event, with the costs of a connection and to others."""
     is_connected = state.client.has_idle(choice.address)
-    return choice.expected_s + (0.0 if is_connected else CONNECT_COST_S)
+    cost_s = choice.expected_s + SLOWDOWN_WEIGHT * choice.slowdown_s
+    return cost_s + (0.0 if is_connected else CONNECT_COST_S)
+
+
+def _is_calm(with_room: Sized, usable: Sized) -> bool:
+    """Whether enough groups have room for a choice by cost."""
+    return len(with_room) >= MIN_SHARE_WITH_ROOM * len(usable)
 
 
 def _rate_group(
@@ -131,17 +163,46 @@
     spec: ModelSpec,
     request_size: RequestSize,
     group: GroupTarget,
-    now: float,
+    has_room: bool,
 ) -> ServerChoice:
+    """Rate a group by the first event alone, as far as the configured figures tell."""
     load = state.load_tracker.total_load(group.head)
     expected = expected_first_event_s(
         engine, spec, request_size, load.in_flight, load.unread_tokens
     )
-    has_room = load.in_flight < engine.slots + MAX_QUEUED_PER_GROUP
-    has_room = has_room and not state.load_tracker.is_full(group.head, now)
     return ServerChoice(group.head, group.address, expected, has_room, group.epoch)
 
 
+def _rate_by_cost(
+    state: NodeState,
+    engine: EngineSpec,
+    spec: ModelSpec,
+    request_size: RequestSize,
+    forecast: LengthForecast,
+    group: GroupTarget,
+    has_room: bool,
+) -> ServerChoice:
+    """Rate a group by first event and slowdown, from what is learned of answers and groups."""
+    load = state.load_tracker.present_load(group.head)
+    pace = state.step_paces.pace(group.head, state.clock.now())
+    size = RequestSize(request_size.prompt_tokens, round(forecast.mean))
+    estimate = estimate_in_group(engine, spec, size, load, pace)
+    return ServerChoice(
+        group.head,
+        group.address,
+        estimate.first_event_s,
+        has_room,
+        group.epoch,
+        estimate.slowdown_s,
+    )
+
+
+def _has_room(state: NodeState, engine: EngineSpec, head: InstanceId, now: float) -> bool:
+    tracker = state.load_tracker
+    has_slot = tracker.total_load(head).in_flight < engine.slots + MAX_QUEUED_PER_GROUP
+    return has_slot and not tracker.is_full(head, now)
+
+
 def best_server(
     state: NodeState,
     service: ServiceName,
