An engine without a configured mean answer gets forecasts, too

Cause: with a mean of 0 tokens in the operator's configuration, the prediction took the logarithm of 0 once a route had learned.

Change: the mean counts as at least one token.

Evidence: the new test in tests/dispatch/test_cost.py passes; it was not run without the change.

--- a/briarpond/dispatch/_cost.py
+++ b/briarpond/dispatch/_cost.py
@@ -183,7 +183,8 @@
             Present time.
         """
         highest = float(limit) if limit > 0 else math.inf
-        prior_log_mean = math.log(max(1.0, mean_tokens)) - PRIOR_VARIANCE / 2
+        mean_tokens = max(1.0, mean_tokens)
+        prior_log_mean = math.log(mean_tokens) - PRIOR_VARIANCE / 2
         lengths = self._routes.get((service, route))
         if lengths is None:
             return LengthForecast(prior_log_mean, PRIOR_VARIANCE, highest, 1.0, False)
--- a/tests/dispatch/test_cost.py
+++ b/tests/dispatch/test_cost.py
@@ -42,6 +42,13 @@
         assert forecast.mean == pytest.approx(154.0) and not forecast.is_learned
 
 
+def test_engine_without_a_mean_answer_gets_a_forecast():
+    """The operator's configuration may state 0 tokens, of which there is no logarithm."""
+    lengths = learned_lengths(7)
+    for route in ("plan", "unknown"):
+        assert lengths.predict("pool", route, 9, 0, 0.0, 100.0).remaining(3) > 0
+
+
 def test_routes_with_short_and_long_answers_get_forecasts_of_their_own():
     """Requests of two routes look alike, and their answers differ by a factor of three."""
     lengths = learned_lengths(1, mean_by_route={"chat": 77.0, "plan": 231.0})
