--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -16,12 +16,15 @@
     ServerInFlight,
 )
 from briarpond.dispatch import (
+    AnswerLengths,
     ColdSends,
     EventGapTracker,
     GroupPreferences,
+    LoadRow,
     LoadTracker,
     RequestSize,
     SharedRetryBudget,
+    StepPaces,
     slot_occupancy_s,
 )
 from briarpond.fleet import FleetView, InstanceState, ListedGroup, MemberState, assemble_groups
@@ -89,6 +92,10 @@
         Order in which this node uses groups.
     event_gap_tracker : EventGapTracker
         Time between events of the streams of each head.
+    answer_lengths : AnswerLengths
+        Lengths of answers by service and route, learned from those that were whole.
+    step_paces : StepPaces
+        Step times of groups relative to those of their peers.
     kept_bytes : KeptBytes
         Memory that incomplete answers of servers take up.
     cold_link : ColdLink
@@ -124,6 +131,8 @@
         self.load_tracker = LoadTracker()
         self.group_preferences = GroupPreferences(settings.node, settings.data_centre)
         self.event_gap_tracker = EventGapTracker()
+        self.answer_lengths = AnswerLengths()
+        self.step_paces = StepPaces()
         self.metrics = GatewayMetrics()
         self.kept_bytes = KeptBytes()
         self.cold_link = ColdLink(settings.node, clock.now(), self._cold_until)
@@ -372,7 +381,10 @@
 
     def set_peer_load(self, source: str, load: Load) -> None:
         """Replace the requests in flight that another node or a relay reported."""
-        rows = [(row.instance, row.in_flight, row.unread_tokens) for row in load.servers]
+        rows = [
+            LoadRow(row.instance, row.in_flight, row.unread_tokens, row.unwritten_tokens)
+            for row in load.servers
+        ]
         self.load_tracker.set_peer_load(source, rows)
 
     def _own_groups(self, now: float) -> tuple[GroupTarget, ...]:
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -1,12 +1,19 @@
 """Choice of the backend server that a request is sent to."""
 
 import random
-from collections.abc import Collection, Container
+from collections.abc import Collection, Container, Sized
+from functools import partial
 
 import msgspec
 
 from briarpond.directory import GroupTarget
-from briarpond.dispatch import ColdSends, RequestSize, expected_first_event_s, subset_size
+from briarpond.dispatch import (
+    LengthForecast,
+    RequestSize,
+    estimate_in_group,
+    expected_first_event_s,
+    subset_size,
+)
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.net import Address
 from briarpond.routes import EngineSpec, ModelName, ModelSpec
@@ -24,6 +31,12 @@
 # What a new connection is taken to cost, as a delay of the first event. It makes a node keep to
 # groups that it is connected to while others are hardly faster.
 CONNECT_COST_S = 0.02
+# What a second counts by which running requests are delayed, in seconds of the first event. With
+# 0.03 and more, first events were later (benchmarks/choice.py).
+SLOWDOWN_WEIGHT = 0.003
+# Share of the groups of a model that must have room for a choice by cost. With fewer the system is
+# overloaded, and in benchmarks/choice.py fewer answers were in time than by the first event alone.
+MIN_SHARE_WITH_ROOM = 0.9
 
 
 class ServerChoice(msgspec.Struct, frozen=True):
@@ -45,6 +58,9 @@
         Whether it has no room only because it is cold and no request is due yet.
     is_cold_detour : bool
         Whether another server was held back.
+    slowdown_s : float
+        Expected delay of the requests that run there already, all together; 0 for plain servers
+        and while nothing is learned of answers.
     """
 
     instance: InstanceId
@@ -54,6 +70,7 @@
     epoch: int = 0
     is_held_back: bool = False
     is_cold_detour: bool = False
+    slowdown_s: float = 0.0
 
 
 class AllBut(Container[InstanceId]):
@@ -79,9 +96,13 @@
     request_size: RequestSize,
     tried: Container[InstanceId],
     now: float,
+    forecast: LengthForecast | None = None,
 ) -> ServerChoice | None:
     """Return the group that is expected to send its first event soonest.
 
+    Once lengths of answers are learned, the delay of the requests that run already and the
+    measured pace of the groups count, too.
+
     Parameters
     ----------
     state : NodeState
@@ -96,6 +117,8 @@
         Heads that the request was sent to before; they are left out.
     now : float
         Present time.
+    forecast : LengthForecast or None
+        Expected length of the answer; it counts if it is learned.
 
     Returns
     -------
@@ -115,33 +138,27 @@
         and not state.is_avoided(group.head, now)
         and not is_evacuated(state, group.head, group.data_centre)
     ]
-    choices = [
-        _rate_group(state, engine, spec, request_size, group, now)
-        for group in state.group_preferences.sort(usable_groups)
-    ]
-    choices = _hold_back_cold(state.cold_sends(now), choices, now)
-    with_room = [choice for choice in choices if choice.has_room]
+    preferred_groups = state.group_preferences.sort(usable_groups)
+    free = [each for each in preferred_groups if _has_room(state, engine, each.head, now)]
+    cold_sends = state.cold_sends(now)
+    only_cold = all(cold_sends.is_cold(each.head) for each in usable_groups)
+    with_room = [each for each in free if cold_sends.may_send(each.head, now, only_cold)]
+    if forecast is None or not forecast.is_learned or not _is_calm(free, usable_groups):
+        rate = partial(_rate_group, state, engine, spec, request_size)
+    else:
+        rate = partial(_rate_by_cost, state, engine, spec, request_size, forecast)
     if not with_room:
+        held_back = {each.head for each in free}
+        choices = [
+            msgspec.structs.replace(rate(group, False), is_held_back=group.head in held_back)
+            for group in preferred_groups
+        ]
         return min(choices, key=lambda choice: choice.expected_s, default=None)
     preferred = with_room[: subset_size(len(usable_groups), state.node_count)]
     sampled = state.rng.sample(preferred, min(len(preferred), COMPARED_GROUPS))
-    best = min(sampled, key=lambda choice: _cost(state, choice))
-    return _mark_detour(best) if any(choice.is_held_back for choice in choices) else best
-
-
-def _hold_back_cold(
-    sends: ColdSends, choices: list[ServerChoice], now: float
-) -> list[ServerChoice]:
-    """Return the choices without room at the cold servers to which no request is due."""
-    only_cold = all(sends.is_cold(choice.instance) for choice in choices)
-    return [
-        (
-            choice
-            if not choice.has_room or sends.may_send(choice.instance, now, only_cold)
-            else msgspec.structs.replace(choice, has_room=False, is_held_back=True)
-        )
-        for choice in choices
-    ]
+    choices = [rate(group, True) for group in sampled]
+    best = min(choices, key=lambda choice: _cost(state, choice))
+    return _mark_detour(best) if len(with_room) < len(free) else best
 
 
 def _mark_detour(choice: ServerChoice) -> ServerChoice:
@@ -149,9 +166,15 @@
 
 
 def _cost(state: NodeState, choice: ServerChoice) -> float:
-    """Return the expected time to the first event, with the cost of a new connection."""
+    """Return the time to the first event, with the costs of a connection and to others."""
     is_connected = state.client.has_idle(choice.address)
-    return choice.expected_s + (0.0 if is_connected else CONNECT_COST_S)
+    cost_s = choice.expected_s + SLOWDOWN_WEIGHT * choice.slowdown_s
+    return cost_s + (0.0 if is_connected else CONNECT_COST_S)
+
+
+def _is_calm(with_room: Sized, usable: Sized) -> bool:
+    """Whether enough groups have room for a choice by cost."""
+    return len(with_room) >= MIN_SHARE_WITH_ROOM * len(usable)
 
 
 def _rate_group(
@@ -160,17 +183,46 @@
     spec: ModelSpec,
     request_size: RequestSize,
     group: GroupTarget,
-    now: float,
+    has_room: bool,
 ) -> ServerChoice:
+    """Rate a group by the first event alone, as far as the configured figures tell."""
     load = state.load_tracker.total_load(group.head)
     expected = expected_first_event_s(
         engine, spec, request_size, load.in_flight, load.unread_tokens
     )
-    has_room = load.in_flight < engine.slots + MAX_QUEUED_PER_GROUP
-    has_room = has_room and not state.load_tracker.is_full(group.head, now)
     return ServerChoice(group.head, group.address, expected, has_room, group.epoch)
 
 
+def _rate_by_cost(
+    state: NodeState,
+    engine: EngineSpec,
+    spec: ModelSpec,
+    request_size: RequestSize,
+    forecast: LengthForecast,
+    group: GroupTarget,
+    has_room: bool,
+) -> ServerChoice:
+    """Rate a group by first event and slowdown, from what is learned of answers and groups."""
+    load = state.load_tracker.present_load(group.head)
+    pace = state.step_paces.pace(group.head, state.clock.now())
+    size = RequestSize(request_size.prompt_tokens, round(forecast.mean))
+    estimate = estimate_in_group(engine, spec, size, load, pace)
+    return ServerChoice(
+        group.head,
+        group.address,
+        estimate.first_event_s,
+        has_room,
+        group.epoch,
+        estimate.slowdown_s,
+    )
+
+
+def _has_room(state: NodeState, engine: EngineSpec, head: InstanceId, now: float) -> bool:
+    tracker = state.load_tracker
+    has_slot = tracker.total_load(head).in_flight < engine.slots + MAX_QUEUED_PER_GROUP
+    return has_slot and not tracker.is_full(head, now)
+
+
 def best_server(
     state: NodeState,
     service: ServiceName,
