Bodies of answered requests are freed at once

Cause: request, sends and calls refer to each other, so that a body stayed in memory until the interpreter collected cyclic garbage. It does so by the number of objects, and these are few but large.

Change: a request drops its body when it ends, a call when it is encoded, the own interface when the handler has read it. The crowd test of the own interface has idle_s 5 in its settings, so that answered connections are closed within its wait.

--- a/briarpond/daemon/_inbound.py
+++ b/briarpond/daemon/_inbound.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
+from io import BytesIO
 
 from circuits import handler
 from circuits.net.events import read
@@ -42,8 +43,9 @@
 
 # How often connections are checked for an expired read or idle time.
 EXPIRY_CHECK_INTERVAL_S = 1.0
-# How often the connections that are not read are checked for callers that have left.
-HANGUP_CHECK_INTERVAL_S = 0.25
+# How often connections that are not read are checked for callers that have left, and bodies for
+# progress: a body that waits for room has to get it well within `limits.request_read_s`.
+INPUT_CHECK_INTERVAL_S = 0.25
 # Largest peek at the head of a request; most heads are smaller.
 HEAD_PEEK_BYTES = 4 * 1024
 # Connections above the limit that are told so; further ones are closed at once.
@@ -116,7 +118,7 @@
     limits : LimitSettings
         Limits on connections, on the size of a request and on the time to send it.
     handle : callable
-        Called with each complete request; it answers now or later.
+        Called with each complete request; it reads the body at once, and answers now or later.
     budget : BodyBudget or None
         Room for bodies, shared with other listeners of the process; None for one of its own.
     """
@@ -145,7 +147,7 @@
         self._read_and_discard = self.server._read
         self.server._read = self._receive
         clock.every(EXPIRY_CHECK_INTERVAL_S, self._close_expired)
-        clock.every(HANGUP_CHECK_INTERVAL_S, self._close_left)
+        clock.every(INPUT_CHECK_INTERVAL_S, self._check_input)
 
     def buffered(self, sock: socket.socket) -> int:
         """Return the bytes that wait to be written to `sock`."""
@@ -382,6 +384,9 @@
         connection.reply = reply
         if not run_guarded("request", self._handle, request, reply):
             self.drop(request.sock)
+        # The handler has read it. The library's request and response refer to each other, and
+        # cyclic garbage may stay for long.
+        request.body = BytesIO()
         return True
 
     @handler("write", priority=1)
@@ -440,7 +445,10 @@
                 and now - connection.phase_started_at > self._limits.idle_s
             ):
                 self.drop(sock, CloseReason.IDLE)
-        self._limit_bodies(now)
+
+    def _check_input(self) -> None:
+        self._close_left()
+        self._limit_bodies(self._clock.now())
 
     def _limit_bodies(self, now: float) -> None:
         """Refuse bodies that make no progress while others wait for room, the largest first."""
--- a/briarpond/daemon/_runner.py
+++ b/briarpond/daemon/_runner.py
@@ -450,6 +450,8 @@
 
     def _finish(self) -> None:
         self._end_exchange(cancel=False)
+        # Request and exchange refer to each other, and cyclic garbage may stay for long.
+        self._request.body = b""
         self._record_key_end()
         notify, self._on_done = self._on_done, None
         notify(self)
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -402,6 +402,8 @@
     def _finish(self, outcome: Outcome) -> None:
         self.done = True
         self.held = False
+        # Request and sends refer to each other, and cyclic garbage may stay for long.
+        self._caller.http.body = b""
         now = self._state.clock.now()
         ending = Ending(outcome, self._reason, self._quarantined_part)
         record_ending(self._context, self._sends, self._reply, ending, now)
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -61,7 +61,8 @@
     address : Address
         Server to send the request to.
     method, target, headers, body : str, str, Headers, bytes
-        The request; ``Host`` and ``Content-Length`` are added.
+        The request; ``Host`` and ``Content-Length`` are added. The body is dropped from the call
+        once it is encoded.
     on_head : callable
         Called with status and headers of the answer.
     on_body : callable
@@ -116,6 +117,8 @@
         self._h11 = h11.Connection(h11.CLIENT)
         # Encoded before any connection is used, so that an error here leaves none tied to the call.
         self._request_data = self._encode_request()
+        # Call and exchange refer to each other, and cyclic garbage may stay for long.
+        call.body = b""
         self._conn: Connection | None = None
         self._idle_timeout_s = IDLE_TIMEOUT_S
         self._discarding = False
--- a/tests/daemon/test_reading.py
+++ b/tests/daemon/test_reading.py
@@ -26,7 +26,7 @@
         self.left = []
         self.clock, self.exceptions = Clock(), UncaughtExceptionHandler()
         self.budget = BodyBudget(3 * LARGE_BYTES)
-        limits = LimitSettings(request_read_s=3.0)
+        limits = LimitSettings(request_read_s=5.0)
         self.listener = Listener(
             Address("127.0.0.1", self.port), "callers", self.clock, limits, self.handle, self.budget
         )
@@ -37,7 +37,8 @@
 
     def handle(self, request, reply):
         reply.on_disconnect = lambda: self.left.append(request.path)
-        self.replies.append((request, reply))
+        answer = request.path.encode() + b" %d" % len(request.body.read())
+        self.replies.append((answer, reply))
 
     def wait_until(self, condition, seconds=10.0):
         end = time.monotonic() + seconds
@@ -46,9 +47,8 @@
             time.sleep(0.005)
 
     def answer_last(self):
-        request, reply = self.replies[-1]
-        body = request.path.encode() + b" %d" % len(request.body.read())
-        self.clock.after(0.0, lambda: reply.send_whole(200, (), body))
+        answer, reply = self.replies[-1]
+        self.clock.after(0.0, lambda: reply.send_whole(200, (), answer))
 
     def connect(self):
         self.wait_until(lambda: self.listener.server._poller is not None)
--- a/tests/daemon/test_untrusted_callers.py
+++ b/tests/daemon/test_untrusted_callers.py
@@ -43,7 +43,7 @@
             tmp_path / "crowd",
             data_centres=("hobart-a",),
             plain_server_count=1,
-            limits={"request_read_s": 3.0},
+            limits={"request_read_s": 3.0, "idle_s": 5.0},
         ) as running,
     ):
         wait_until(lambda: running.submit_patch(initial_configuration({"hobart-a": 1})))
@@ -51,9 +51,9 @@
         yield running
 
 
-def head(length_line):
+def head(length_line, path="/v1/chat/completions"):
     return (
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        f"POST {path} HTTP/1.1\r\nHost: x\r\n"
         f"Authorization: Bearer {CALLER_KEY}\r\n{length_line}\r\n\r\n"
     ).encode()
 
@@ -112,6 +112,13 @@
     check_crowd(deployment, data, len(data))
 
 
+# Guards against bodies of answered requests that stay in memory until cyclic garbage is collected:
+# that counts objects, of which these have few.
+def test_whole_bodies_that_are_answered(deployment):
+    data = head(f"Content-Length: {REQUEST_BYTES}", "/services/cutdesk/x") + bytes(REQUEST_BYTES)
+    check_crowd(deployment, data, len(data))
+
+
 # Guards against a defence that refuses a single request of the largest size.
 def test_one_body_of_the_largest_size_is_served(deployment):
     node = next(iter(deployment.nodes.values()))
--- a/tests/gateway/test_untrusted_callers.py
+++ b/tests/gateway/test_untrusted_callers.py
@@ -97,6 +97,13 @@
     check_crowd(tmp_path, CROWD, data, len(data))
 
 
+# Guards against bodies of answered requests that stay in memory until cyclic garbage is collected:
+# that counts objects, of which these have few.
+def test_whole_bodies_that_are_answered(tmp_path):
+    data = announced(MAX_BODY_BYTES, MAX_BODY_BYTES)
+    check_crowd(tmp_path, CROWD, data, len(data))
+
+
 # Guards against a defence that refuses a single request of the largest size.
 def test_one_body_of_the_largest_size_is_served(tmp_path):
     async def scenario(node):
