--- a/briarpond/dispatch/_admission.py
+++ b/briarpond/dispatch/_admission.py
@@ -4,9 +4,6 @@
 
 import msgspec
 
-# Requests queued at a full group, as a fraction of its slots, beyond which further requests
-# wait at the node instead. No code reads this constant at present.
-QUEUED_PER_SLOT = 0.35
 # Fraction of the first-byte goal for which a request is held at the node until a slot is free.
 HOLD_GOAL_FRACTION = 0.35
 
