Requests beyond the groups' capacity are refused by urgency

Cause: the loads that nodes know of each other are 0.2 to 0.8 s old, so under overload all nodes send to the same slots, nobody is refused, and most answers are late.

Change: each node adapts the share of requests that it admits to the load of a model's groups, and admits the most urgent; among equals the content of a request decides, so that repeating it at once gains nothing. Refusals for load have spread Retry-After values. Servers are told the priority. All of this is active only where requests to a service can have different priorities.

--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -1,10 +1,26 @@
 """Decisions of the gateway about one request: admission, retries and load of backend servers."""
 
-from ._admission import AdmissionAction, AdmissionDecision, decide_admission
+from ._admission import (
+    HOLD_GOAL_FRACTION,
+    AdmissionAction,
+    AdmissionDecision,
+    decide_admission,
+)
 from ._budget import SharedRetryBudget
 from ._events import DamagedEventError, ResumableEventSplitter, has_fields
 from ._load import InFlightLoad, LoadTracker
 from ._pace import EventGapTracker
+from ._pressure import (
+    PRESSURE_HOLD_FRACTION,
+    AdmittedShare,
+    ModelLoad,
+    PressureReason,
+    content_key,
+    content_rank,
+    decide_pressure,
+    model_load,
+    spread_retry_after_s,
+)
 from ._recovery import (
     MAX_SENDS_OF_BEGUN_STREAM,
     MIN_REMAINING_S,
@@ -16,19 +32,24 @@
     may_hedge,
 )
 from ._resume_pause import ResumePause
-from ._speed import RequestSize, expected_first_event_s, slot_occupancy_s
+from ._speed import RequestSize, expected_first_event_s, prefill_s, slot_occupancy_s
 from ._subset import GroupPreferences, subset_size
 
 __all__ = [
+    "HOLD_GOAL_FRACTION",
     "MAX_SENDS_OF_BEGUN_STREAM",
     "MIN_REMAINING_S",
+    "PRESSURE_HOLD_FRACTION",
     "AdmissionAction",
     "AdmissionDecision",
+    "AdmittedShare",
     "DamagedEventError",
     "EventGapTracker",
     "GroupPreferences",
     "InFlightLoad",
     "LoadTracker",
+    "ModelLoad",
+    "PressureReason",
     "RecoveryAction",
     "RequestSize",
     "ResumableEventSplitter",
@@ -36,12 +57,18 @@
     "SendFailure",
     "SendProgress",
     "SharedRetryBudget",
+    "content_key",
+    "content_rank",
     "decide_admission",
+    "decide_pressure",
     "decide_recovery",
     "expected_first_event_s",
     "has_fields",
     "may_await_server",
     "may_hedge",
+    "model_load",
+    "prefill_s",
     "slot_occupancy_s",
+    "spread_retry_after_s",
     "subset_size",
 ]
--- a/briarpond/dispatch/_admission.py
+++ b/briarpond/dispatch/_admission.py
@@ -48,6 +48,7 @@
     goal_s: float,
     remaining_s: float,
     group_formation_s: float,
+    hold_fraction: float = HOLD_GOAL_FRACTION,
 ) -> AdmissionDecision:
     """Decide whether a request is sent, held or refused.
 
@@ -71,8 +72,10 @@
     group_formation_s : float
         Seconds after which a group may exist, if there is none; the waiting time of the
         refusal in that case.
+    hold_fraction : float
+        Fraction of the first-byte goal for which a request is held.
     """
-    hold_s = min(goal_s * HOLD_GOAL_FRACTION, remaining_s)
+    hold_s = min(goal_s * hold_fraction, remaining_s)
     if expected_s is not None and has_capacity:
         return AdmissionDecision(AdmissionAction.SEND)
     if waited_s < hold_s:
--- a/briarpond/gateway/_caller_request.py
+++ b/briarpond/gateway/_caller_request.py
@@ -8,6 +8,7 @@
 from briarpond.platform import (
     HOP_BY_HOP_HEADERS,
     PlatformHeader,
+    format_priority,
     parse_prompt_parts,
     parse_token_counts,
 )
@@ -94,6 +95,7 @@
     tenant: Tenant | None,
     last_event_id: bytes | None,
     now: float,
+    priority: int | None = None,
 ) -> Headers:
     """Return the headers of one send.
 
@@ -107,11 +109,15 @@
         Event after which a stream is resumed; None to pass the caller's own on.
     now : float
         Present time.
+    priority : int or None
+        Priority that the server is told; None to leave it to the server.
     """
     headers = [pair for pair in caller.http.headers if pair[0] not in _DROPPED_HEADERS]
     remaining_ms = max(1, int((caller.expires_at - now) * 1000))
     headers.append((PlatformHeader.DEADLINE_MS, str(remaining_ms)))
     headers.append((PlatformHeader.EXPECT_INSTANCE, server))
+    if priority is not None:
+        headers.append((PlatformHeader.PRIORITY, format_priority(priority)))
     if tenant is not None:
         # A name may have characters beyond those of a header: its bytes in UTF-8 are sent.
         headers.append((PlatformHeader.TENANT, tenant.name.encode().decode("latin-1")))
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -62,6 +62,16 @@
             "Accepted connections closed with a request unanswered or bytes unsent, by reason.",
             registry=self.registry,
         )
+        self.occupancy = Gauge(
+            "briarpond_gateway_occupancy",
+            "Requests in flight for each slot of a model's groups, as this node knows them.",
+            registry=self.registry,
+        )
+        self.overload_refusals = Counter(
+            "briarpond_gateway_overload_refusals_total",
+            "Requests refused because of the load of the groups, by reason and priority.",
+            registry=self.registry,
+        )
         self.config_version = Gauge(
             "briarpond_gateway_config_version",
             "Version of the configuration in force.",
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from briarpond.directory import (
+    Load,
     Member,
     Plan,
     PlanStatus,
@@ -42,6 +43,7 @@
 from ._lease import MAX_CANDIDATES, PlannerLease
 from ._peers import PeerLink
 from ._planner_link import PlannerRunner
+from ._pressure import measure_pressure
 from ._quarantine_api import QUARANTINE_PATH, answer_quarantine
 from ._registry import NodeRegistry
 from ._shutdown import STOP_CHECK_INTERVAL_S, Shutdown
@@ -353,7 +355,7 @@
             on_plan=self._on_plan_status,
             on_config=self._config.on_status,
             on_config_version=self._config.on_version,
-            on_load=self.state.set_peer_load,
+            on_load=self._on_load,
             on_stalled=self._on_stalled_elsewhere,
             on_members=self._on_members,
             evidence=self.state.quarantine.evidence,
@@ -403,6 +405,10 @@
         if is_new:
             self.ingress.retry_held()
 
+    def _on_load(self, source: str, load: Load) -> None:
+        self.state.set_peer_load(source, load)
+        measure_pressure(self.state, self.state.clock.now())
+
     def _on_members(self, appeared: list[NodeId], gone: list[NodeId]) -> None:
         for node in appeared:
             log_event("node_appeared", node=node)
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -7,7 +7,7 @@
 from briarpond.dispatch import SendProgress, may_hedge
 from briarpond.ids import InstanceId, PromptPart, ServiceName
 from briarpond.quarantine import Block
-from briarpond.routes import Route, Tenant
+from briarpond.routes import Route, Tenant, request_priority
 
 from ._caller_request import CallerRequest
 from ._state import NodeState
@@ -43,6 +43,23 @@
         """Whether a group of instances runs the request, and not a plain server."""
         return self.state.engine(self.service) is not None
 
+    @property
+    def priority(self) -> int:
+        """Priority of the request; 0 is the most urgent."""
+        return request_priority(self.route, self.tenant)
+
+    @property
+    def priorities(self) -> tuple[int, ...]:
+        """Priorities that requests to the service can have, in ascending order."""
+        table = self.state.route_table
+        return () if table is None else table.priorities.get(self.service, ())
+
+    @property
+    def server_priority(self) -> int | None:
+        """Priority that servers are told; None if all requests have the same one."""
+        table = self.state.route_table
+        return self.priority if table is not None and table.has_priorities else None
+
     @property
     def longest_duration_s(self) -> float:
         """Seconds within which a server answers the request; infinite if not known.
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -20,6 +20,7 @@
 from ._caller_reply import CallerReply
 from ._caller_request import read_caller_request
 from ._outcome import Ending, Outcome, record_ending
+from ._pressure import Pressure, RequestPressure
 from ._request_context import RequestContext, best_choice
 from ._request_sends import SILENT_REASON, RequestSends
 from ._send import Send, SendCallbacks
@@ -90,6 +91,7 @@
             self._run_confined,
         )
         self._sends = RequestSends(self._context, callbacks)
+        self._pressure = RequestPressure(self._context)
         self._resume_pause = ResumePause()
         self._reason = ""
         self._quarantined_part: PromptPart | None = None
@@ -99,10 +101,7 @@
     @property
     def sort_key(self) -> tuple[int, float]:
         """Sort key among held requests: priority (0 is the most urgent), then arrival."""
-        tenant = self._context.tenant
-        route_priority = self.route.priority
-        priority = tenant.priority if tenant and tenant.priority is not None else route_priority
-        return priority, self._caller.http.read_at
+        return self._context.priority, self._caller.http.read_at
 
     @property
     def open_sends(self) -> tuple[Send, ...]:
@@ -168,6 +167,12 @@
         if self._reply.has_begun:
             self._continue_stream(choice, now)
             return
+        pressure = Pressure()
+        if not self.was_tried:
+            pressure = self._pressure.rate(choice, first_event_goal_s, now)
+        if pressure.reason is not None:
+            self._refuse_for_load(pressure.reason.value, pressure.retry_after_s)
+            return
         decision = decide_admission(
             None if choice is None else choice.expected_s,
             choice is not None and choice.has_room,
@@ -175,13 +180,20 @@
             first_event_goal_s,
             self._caller.expires_at - now,
             first_event_goal_s,
+            pressure.hold_fraction,
         )
         self.held = decision.action is AdmissionAction.HOLD
         if decision.action is AdmissionAction.SEND and choice is not None:
             self._send(choice, now)
         elif decision.action is AdmissionAction.REFUSE:
-            self._reason = "no_group" if choice is None else "no_room"
-            self._end_without_answer(decision.retry_after_s)
+            retry_after_s = pressure.retry_after_s or decision.retry_after_s
+            self._refuse_for_load("no_group" if choice is None else "no_room", retry_after_s)
+
+    def _refuse_for_load(self, reason: str, retry_after_s: float) -> None:
+        self._reason = reason
+        labels = {"reason": reason, "priority": str(self._context.priority)}
+        self._state.metrics.overload_refusals.inc(labels)
+        self._end_without_answer(retry_after_s)
 
     def end_if_not_begun(self, part: PromptPart) -> None:
         """End a request with a part that was put in quarantine, unless its answer has begun.
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -1,6 +1,7 @@
 """State that the parts of one node share: configuration, fleet, loads and plan."""
 
 import random
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -16,6 +17,7 @@
     ServerInFlight,
 )
 from briarpond.dispatch import (
+    AdmittedShare,
     EventGapTracker,
     GroupPreferences,
     LoadTracker,
@@ -77,6 +79,8 @@
 
     Attributes
     ----------
+    time_of_day : callable
+        Returns the time in seconds on a clock that all nodes have about in common.
     route_table : RouteTable or None
         Routes of the configuration in force; None until one was read.
     fleet : FleetView
@@ -87,6 +91,8 @@
         Order in which this node uses groups.
     event_gap_tracker : EventGapTracker
         Time between events of the streams of each head.
+    admitted_shares : dict
+        Share of the requests for each model that this node admits under overload.
     kept_bytes : KeptBytes
         Memory that incomplete answers of servers take up.
     quarantine_link : QuarantineLink
@@ -113,11 +119,13 @@
         self.clock = clock
         self.client = client
         self.rng = random.Random()
+        self.time_of_day: Callable[[], float] = time.time
         self.route_table: RouteTable | None = None
         self.fleet = FleetView(settings.first_start)
         self.load_tracker = LoadTracker()
         self.group_preferences = GroupPreferences(settings.node, settings.data_centre)
         self.event_gap_tracker = EventGapTracker()
+        self.admitted_shares: dict[ModelName, AdmittedShare] = {}
         self.metrics = GatewayMetrics()
         self.kept_bytes = KeptBytes()
         self.quarantine_link = QuarantineLink(
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -6,7 +6,13 @@
 import msgspec
 
 from briarpond.directory import GroupTarget
-from briarpond.dispatch import RequestSize, expected_first_event_s, subset_size
+from briarpond.dispatch import (
+    ModelLoad,
+    RequestSize,
+    expected_first_event_s,
+    model_load,
+    subset_size,
+)
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.net import Address
 from briarpond.routes import EngineSpec, ModelName, ModelSpec
@@ -100,12 +106,7 @@
     if spec is None:
         return None
     usable_groups = [
-        group
-        for group in state.groups(now)
-        if group.model == model
-        and group.head not in tried
-        and not state.has_left(group.head, now)
-        and not state.is_avoided(group.head, now)
+        group for group in _groups_of_model(state, model, now) if group.head not in tried
     ]
     choices = [
         _rate_group(state, engine, spec, request_size, group, now)
@@ -119,6 +120,24 @@
     return min(sampled, key=lambda choice: _cost(state, choice))
 
 
+def load_of_model(state: NodeState, engine: EngineSpec, spec: ModelSpec, now: float) -> ModelLoad:
+    """Return the load of all groups together that requests for a model may be sent to."""
+    groups = _groups_of_model(state, spec.name, now)
+    tracker = state.load_tracker
+    return model_load(engine, spec, [tracker.total_load(each.head).in_flight for each in groups])
+
+
+def _groups_of_model(state: NodeState, model: ModelName, now: float) -> list[GroupTarget]:
+    """Return the groups of a model that requests may be sent to."""
+    return [
+        group
+        for group in state.groups(now)
+        if group.model == model
+        and not state.has_left(group.head, now)
+        and not state.is_avoided(group.head, now)
+    ]
+
+
 def _cost(state: NodeState, choice: ServerChoice) -> float:
     """Return the expected time to the first event, with the cost of a new connection."""
     is_connected = state.client.has_idle(choice.address)
--- a/briarpond/platform/_headers.py
+++ b/briarpond/platform/_headers.py
@@ -37,7 +37,8 @@
     PROMPT_PARTS : str
         Parts of the request's prompt in order, see `parse_prompt_parts`.
     PRIORITY : str
-        Priority that the caller gives; it is not forwarded.
+        Priority of the request, see `format_priority`. Servers are told that of the route or
+        the client account; what a caller gives is not forwarded.
     LAST_EVENT_ID : str
         Last event of a stream that was received; a resumed stream continues after it.
     FAILED_SERVER : str
@@ -84,6 +85,8 @@
 MAX_PROMPT_PARTS = 64
 # Larger counts of requests or tokens are read as this.
 MAX_COUNT = 10_000_000
+# Greatest value of the header with the priority.
+LAST_PRIORITY = 9
 # Longest name of a part that is read.
 MAX_PART_NAME = 32
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
@@ -115,6 +118,11 @@
     return value[len(_BEARER_PREFIX) :].strip()
 
 
+def format_priority(priority: int) -> str:
+    """Return the header value of a priority: 0 is served first, `LAST_PRIORITY` last."""
+    return str(min(max(priority, 0), LAST_PRIORITY))
+
+
 def parse_server_load(value: str | None) -> ServerLoad | None:
     """Parse a header value ``running,waiting,slots``.
 
--- a/briarpond/routes/__init__.py
+++ b/briarpond/routes/__init__.py
@@ -12,6 +12,7 @@
     Tenant,
     WeightedService,
 )
+from ._priorities import priorities_in_use, request_priority
 from ._table import Match, RouteTable, choose_service
 
 __all__ = [
@@ -28,4 +29,6 @@
     "Tenant",
     "WeightedService",
     "choose_service",
+    "priorities_in_use",
+    "request_priority",
 ]
--- a/briarpond/routes/_table.py
+++ b/briarpond/routes/_table.py
@@ -7,6 +7,7 @@
 from briarpond.ids import ServiceName
 
 from ._models import GatewayConfiguration, Route, Tenant, WeightedService
+from ._priorities import priorities_in_use
 
 
 class Match(msgspec.Struct, frozen=True):
@@ -31,10 +32,16 @@
     ----------
     config : GatewayConfiguration
         Configuration that the table was built from.
+    priorities : dict
+        Priorities that requests to each service can have, in ascending order.
+    has_priorities : bool
+        Whether requests of the configuration can have different priorities.
     """
 
     def __init__(self, config: GatewayConfiguration) -> None:
         self.config = config
+        self.priorities = priorities_in_use(config)
+        self.has_priorities = len({each for row in self.priorities.values() for each in row}) > 1
         self._routes_by_host: dict[str, dict[str, Route]] = {}
         for route in config.routes:
             self._routes_by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
