--- a/briarpond/dispatch/_pressure.py
+++ b/briarpond/dispatch/_pressure.py
@@ -24,27 +24,39 @@
 # far below the target: under overload the occupancy oscillates, and callers that repeat their
 # requests often would profit from each dip below the threshold.
 PRESSURE_THRESHOLD = 0.6
-# Occupancy that the admitted share aims at. Uneven groups make some of them full before that.
-TARGET_OCCUPANCY = 0.82
+# Occupancies that are aimed at while all requests, and hardly any, are admitted. Uneven groups make
+# some of them full before that. The smaller the share, the more urgent are those that are admitted,
+# and the less they can wait for a slot.
+ALL_ADMITTED_TARGET = 0.92
+FEW_ADMITTED_TARGET = 0.78
 # Occupancy from which the slot of a request that is late is missed by another one.
 FULL_OCCUPANCY = 1.0
 # Time within which a deviation from the target is to be made up for.
 CORRECTION_S = 0.6
 # Interval over which changes of the occupancy are measured: nodes hear of each other within 0.4 s.
 SHARE_INTERVAL_S = 0.4
-# Weights of a measurement against the present share. Larger ones make the occupancy oscillate,
-# because the loads are old.
-RATE_WEIGHT = 0.3
+# Weights of a measurement against the present share: of the rate of admissions while hardly any,
+# and all, requests are admitted, and of the occupancy. Larger ones make the occupancy oscillate,
+# because the loads are old. The first steps of an overload are larger, so that it doesn't build up.
+FEW_ADMITTED_RATE_WEIGHT = 0.4
+ALL_ADMITTED_RATE_WEIGHT = 0.8
 OCCUPANCY_WEIGHT = 0.05
 # Occupancies at which all requests, and none, would be admitted by the occupancy alone.
-ALL_ADMITTED_OCCUPANCY = 0.7
+ALL_ADMITTED_OCCUPANCY = 0.8
 NONE_ADMITTED_OCCUPANCY = 1.05
 MIN_SHARE = 0.02
+# Limits of one step, so that the share doesn't fall so far while the groups are overfull that they
+# run empty afterwards: least rate of admissions that is aimed at, as a part of what full groups
+# complete, and largest ratio of two shares.
+MIN_RATE = 0.3
+MAX_STEP = 2.5
 # Part of the least urgent requests that is admitted whatever the share, so that no client account
 # is starved. It is up to twice as large for more urgent ones.
 UNCONDITIONAL_SHARE = 0.05
 # Requests from which a node learns how its requests are spread over the priorities.
 REMEMBERED_REQUESTS = 64
+# Refusals that a node remembers; the oldest are dropped first.
+REMEMBERED_REFUSALS = 1_024
 # Bytes at each end of a body that identify it.
 COMPARED_BYTES = 2_048
 # Time in which a rank passes through all values, so that requests that always have the same
@@ -142,17 +154,22 @@
         return 1.0
     full_rate = load.slots / load.slot_s
     observed = load.completions_per_s + (load.in_flight - before.in_flight) / elapsed_s
-    missing = (TARGET_OCCUPANCY - load.occupancy) * load.slots / CORRECTION_S
-    wanted = TARGET_OCCUPANCY * full_rate + missing
-    ratio = max(wanted, 0.1 * full_rate) / max(observed, 0.1 * full_rate)
+    target = _between(FEW_ADMITTED_TARGET, ALL_ADMITTED_TARGET, share)
+    weight = _between(FEW_ADMITTED_RATE_WEIGHT, ALL_ADMITTED_RATE_WEIGHT, share)
+    wanted = target * full_rate + (target - load.occupancy) * load.slots / CORRECTION_S
+    ratio = max(wanted, MIN_RATE * full_rate) / max(observed, MIN_RATE * full_rate)
     width = NONE_ADMITTED_OCCUPANCY - ALL_ADMITTED_OCCUPANCY
     by_occupancy = (NONE_ADMITTED_OCCUPANCY - load.occupancy) / width
     intervals = min(2.0, elapsed_s / SHARE_INTERVAL_S)
-    share *= min(2.0, max(0.25, ratio)) ** (RATE_WEIGHT * intervals)
+    share *= min(MAX_STEP, max(1 / MAX_STEP, ratio)) ** (weight * intervals)
     share *= (_clamp_share(by_occupancy) / share) ** (OCCUPANCY_WEIGHT * intervals)
     return _clamp_share(share)
 
 
+def _between(low: float, high: float, part: float) -> float:
+    return low + (high - low) * part
+
+
 def _clamp_share(share: float) -> float:
     return min(1.0, max(MIN_SHARE, share))
 
@@ -238,6 +255,11 @@
         self.share = 1.0
         self._measured: tuple[ModelLoad, float] | None = None
         self._recent: deque[tuple[int, int]] = deque(maxlen=REMEMBERED_REQUESTS)
+        self._refused_until: dict[int, float] = {}
+
+    def is_due(self, now: float) -> bool:
+        """Whether `measure` would adapt the share."""
+        return self._measured is None or now - self._measured[1] >= SHARE_INTERVAL_S
 
     def measure(self, load: ModelLoad, now: float, interval_s: float = SHARE_INTERVAL_S) -> None:
         """Adapt the share to the present load, unless this was done within `interval_s`."""
@@ -254,6 +276,23 @@
         if (key, priority) not in self._recent:
             self._recent.append((key, priority))
 
+    def record_refusal(self, key: int, now: float, retry_after_s: float) -> None:
+        """Remember until when a refused request is to wait.
+
+        A refusal before that time doesn't extend it, so that equal requests of several callers
+        don't keep each other out.
+        """
+        if now < self._refused_until.get(key, now):
+            return
+        self._refused_until.pop(key, None)
+        if len(self._refused_until) >= REMEMBERED_REFUSALS:
+            del self._refused_until[next(iter(self._refused_until))]
+        self._refused_until[key] = now + retry_after_s
+
+    def came_back_early(self, key: int, now: float) -> bool:
+        """Whether a request was refused here, and neither its wait nor the overload is over."""
+        return self.share < 1 and now < self._refused_until.get(key, now)
+
     def position(
         self, key: int, priority: int, priorities: tuple[int, ...], time_of_day_s: float
     ) -> float:
--- a/briarpond/gateway/_pressure.py
+++ b/briarpond/gateway/_pressure.py
@@ -42,8 +42,12 @@
         if spec.engine is None or len(table.priorities.get(service, ())) < 2:
             continue
         for model in spec.engine.models:
+            admitted = _admitted(state, model.name)
+            # A relay hears of loads many times in this interval.
+            if not admitted.is_due(now):
+                continue
             load = load_of_model(state, spec.engine, model, now)
-            _admitted(state, model.name).measure(load, now)
+            admitted.measure(load, now)
             state.metrics.occupancy.set({"model": model.name}, load.occupancy)
 
 
@@ -104,15 +108,18 @@
         load = load_of_model(state, engine, spec, now)
         admitted = _admitted(state, spec.name)
         admitted.measure(load, now, UNHEARD_S)
-        position = admitted.position(
-            self._record(admitted), context.priority, priorities, state.time_of_day()
-        )
+        key = self._record(admitted)
+        position = admitted.position(key, context.priority, priorities, state.time_of_day())
+        if admitted.came_back_early(key, now):
+            position = 1.0
         queue_s = self._queue_s(choice, engine, spec)
         reason = decide_pressure(load, admitted.share, position, queue_s, goal_s)
         if not load.is_under_pressure or (reason is None and admitted.share == 1):
             return Pressure()
         remaining_s = caller.expires_at - now
         retry_after_s = spread_retry_after_s(load, admitted.share, goal_s, remaining_s, state.rng)
+        if reason is not None:
+            admitted.record_refusal(key, now, retry_after_s)
         return Pressure(reason, PRESSURE_HOLD_FRACTION, retry_after_s)
 
     def _record(self, admitted: AdmittedShare) -> int:
