--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -1,12 +1,28 @@
 """Decisions of the gateway about one request: admission, retries and load of backend servers."""
 
-from ._admission import AdmissionAction, AdmissionDecision, decide_admission
+from ._admission import (
+    HOLD_GOAL_FRACTION,
+    AdmissionAction,
+    AdmissionDecision,
+    decide_admission,
+)
 from ._budget import SharedRetryBudget
 from ._cold import ColdLimit, ColdSends
 from ._cost import AnswerLengths, LengthForecast
 from ._events import DamagedEventError, ResumableEventSplitter, count_events, has_fields
 from ._load import InFlightLoad, LoadRow, LoadTracker
 from ._pace import EventGapTracker, StepPaces
+from ._pressure import (
+    PRESSURE_HOLD_FRACTION,
+    AdmittedShare,
+    ModelLoad,
+    PressureReason,
+    content_key,
+    content_rank,
+    decide_pressure,
+    model_load,
+    spread_retry_after_s,
+)
 from ._recovery import (
     MAX_SENDS_OF_BEGUN_STREAM,
     MIN_REMAINING_S,
@@ -24,15 +40,19 @@
     decode_step_s,
     estimate_in_group,
     expected_first_event_s,
+    prefill_s,
     slot_occupancy_s,
 )
 from ._subset import GroupPreferences, subset_size
 
 __all__ = [
+    "HOLD_GOAL_FRACTION",
     "MAX_SENDS_OF_BEGUN_STREAM",
     "MIN_REMAINING_S",
+    "PRESSURE_HOLD_FRACTION",
     "AdmissionAction",
     "AdmissionDecision",
+    "AdmittedShare",
     "AnswerLengths",
     "ColdLimit",
     "ColdSends",
@@ -44,6 +64,8 @@
     "LengthForecast",
     "LoadRow",
     "LoadTracker",
+    "ModelLoad",
+    "PressureReason",
     "RecoveryAction",
     "RequestSize",
     "ResumableEventSplitter",
@@ -53,7 +75,10 @@
     "SharedRetryBudget",
     "StepPaces",
     "count_events",
+    "content_key",
+    "content_rank",
     "decide_admission",
+    "decide_pressure",
     "decide_recovery",
     "decode_step_s",
     "estimate_in_group",
@@ -61,6 +86,9 @@
     "has_fields",
     "may_await_server",
     "may_hedge",
+    "model_load",
+    "prefill_s",
     "slot_occupancy_s",
+    "spread_retry_after_s",
     "subset_size",
 ]
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -8,7 +8,7 @@
 from briarpond.ids import InstanceId, PromptPart, ServiceName
 from briarpond.platform import PlatformHeader
 from briarpond.quarantine import Block
-from briarpond.routes import EngineSpec, Route, Tenant
+from briarpond.routes import EngineSpec, Route, Tenant, request_priority
 
 from ._caller_request import CallerRequest
 from ._request_cost import RequestCost
@@ -48,6 +48,23 @@
         """Whether a group of instances runs the request, and not a plain server."""
         return self.state.engine(self.service) is not None
 
+    @property
+    def priority(self) -> int:
+        """Priority of the request; 0 is the most urgent."""
+        return request_priority(self.route, self.tenant)
+
+    @property
+    def priorities(self) -> tuple[int, ...]:
+        """Priorities that requests to the service can have, in ascending order."""
+        table = self.state.route_table
+        return () if table is None else table.priorities.get(self.service, ())
+
+    @property
+    def server_priority(self) -> int | None:
+        """Priority that servers are told; None if all requests have the same one."""
+        table = self.state.route_table
+        return self.priority if table is not None and table.has_priorities else None
+
     @property
     def longest_duration_s(self) -> float:
         """Seconds within which a server answers the request; infinite if not known.
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -1,6 +1,7 @@
 """State that the parts of one node share: configuration, fleet, loads and plan."""
 
 import random
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -16,6 +17,7 @@
     ServerInFlight,
 )
 from briarpond.dispatch import (
+    AdmittedShare,
     AnswerLengths,
     ColdSends,
     EventGapTracker,
@@ -82,6 +84,8 @@
 
     Attributes
     ----------
+    time_of_day : callable
+        Returns the time in seconds on a clock that all nodes have about in common.
     route_table : RouteTable or None
         Routes of the configuration in force; None until one was read.
     fleet : FleetView
@@ -96,6 +100,8 @@
         Lengths of answers by service and route, learned from those that were whole.
     step_paces : StepPaces
         Step times of groups relative to those of their peers.
+    admitted_shares : dict
+        Share of the requests for each model that this node admits under overload.
     kept_bytes : KeptBytes
         Memory that incomplete answers of servers take up.
     cold_link : ColdLink
@@ -126,6 +132,7 @@
         self.clock = clock
         self.client = client
         self.rng = random.Random()
+        self.time_of_day: Callable[[], float] = time.time
         self.route_table: RouteTable | None = None
         self.fleet = FleetView(settings.first_start)
         self.load_tracker = LoadTracker()
@@ -133,6 +140,7 @@
         self.event_gap_tracker = EventGapTracker()
         self.answer_lengths = AnswerLengths()
         self.step_paces = StepPaces()
+        self.admitted_shares: dict[ModelName, AdmittedShare] = {}
         self.metrics = GatewayMetrics()
         self.kept_bytes = KeptBytes()
         self.cold_link = ColdLink(settings.node, clock.now(), self._cold_until)
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -9,9 +9,11 @@
 from briarpond.directory import GroupTarget
 from briarpond.dispatch import (
     LengthForecast,
+    ModelLoad,
     RequestSize,
     estimate_in_group,
     expected_first_event_s,
+    model_load,
     subset_size,
 )
 from briarpond.ids import InstanceId, ServiceName
@@ -130,13 +132,7 @@
     if spec is None:
         return None
     usable_groups = [
-        group
-        for group in state.groups(now)
-        if group.model == model
-        and group.head not in tried
-        and not state.has_left(group.head, now)
-        and not state.is_avoided(group.head, now)
-        and not is_evacuated(state, group.head, group.data_centre)
+        group for group in _groups_of_model(state, model, now) if group.head not in tried
     ]
     preferred_groups = state.group_preferences.sort(usable_groups)
     free = [each for each in preferred_groups if _has_room(state, engine, each.head, now)]
@@ -165,6 +161,25 @@
     return msgspec.structs.replace(choice, is_cold_detour=True)
 
 
+def load_of_model(state: NodeState, engine: EngineSpec, spec: ModelSpec, now: float) -> ModelLoad:
+    """Return the load of all groups together that requests for a model may be sent to."""
+    groups = _groups_of_model(state, spec.name, now)
+    tracker = state.load_tracker
+    return model_load(engine, spec, [tracker.total_load(each.head).in_flight for each in groups])
+
+
+def _groups_of_model(state: NodeState, model: ModelName, now: float) -> list[GroupTarget]:
+    """Return the groups of a model that requests may be sent to."""
+    return [
+        group
+        for group in state.groups(now)
+        if group.model == model
+        and not state.has_left(group.head, now)
+        and not state.is_avoided(group.head, now)
+        and not is_evacuated(state, group.head, group.data_centre)
+    ]
+
+
 def _cost(state: NodeState, choice: ServerChoice) -> float:
     """Return the time to the first event, with the costs of a connection and to others."""
     is_connected = state.client.has_idle(choice.address)
