--- a/briarpond/gateway/_pressure.py
+++ b/briarpond/gateway/_pressure.py
@@ -1,6 +1,7 @@
 """Overload of the models' groups as this node knows it, and what it refuses for it.
 
-Nothing is done for services whose requests all have the same priority.
+Nothing is done unless the settings ask for it, nor for services whose requests all have the same
+priority.
 """
 
 import msgspec
@@ -36,7 +37,7 @@
 def measure_pressure(state: NodeState, now: float) -> None:
     """Adapt the admitted share of each model; called when loads of other nodes have arrived."""
     table = state.route_table
-    if table is None:
+    if table is None or not state.settings.sheds_load:
         return
     for service, spec in table.config.services.items():
         if spec.engine is None or len(table.priorities.get(service, ())) < 2:
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -57,13 +57,17 @@
     def priorities(self) -> tuple[int, ...]:
         """Priorities that requests to the service can have, in ascending order."""
         table = self.state.route_table
-        return () if table is None else table.priorities.get(self.service, ())
+        if table is None or not self.state.settings.sheds_load:
+            return ()
+        return table.priorities.get(self.service, ())
 
     @property
     def server_priority(self) -> int | None:
         """Priority that servers are told; None if all requests have the same one."""
         table = self.state.route_table
-        return self.priority if table is not None and table.has_priorities else None
+        if table is None or not table.has_priorities or not self.state.settings.sheds_load:
+            return None
+        return self.priority
 
     @property
     def longest_duration_s(self) -> float:
--- a/briarpond/platform/_settings.py
+++ b/briarpond/platform/_settings.py
@@ -15,6 +15,9 @@
 from briarpond.ids import DataCentre, NodeId
 from briarpond.net import Address
 
+# Name of the part of the rules that asks for load shedding.
+OVERLOAD_CONTRACT = "pressure"
+
 
 class SettingsProblem(msgspec.Struct, frozen=True):
     """Why the settings file cannot be used.
@@ -131,6 +134,9 @@
         Access to the platform's store.
     bounds : BoundSettings
         Limits that the deployment guarantees.
+    sheds_load : bool
+        Whether requests are refused by urgency when the groups are nearly full, and servers are
+        told the priority of requests.
     first_start : bool
         Whether the whole system starts for the first time. Otherwise an outage of the
         store may have ended just before the instance list is first read, with
@@ -153,6 +159,7 @@
     first_start: bool = False
     seed_hosts: tuple[str, ...] = ()
     memory_bytes: int | None = None
+    sheds_load: bool = False
 
 
 class _Listen(msgspec.Struct):
@@ -210,6 +217,8 @@
     bootstrap: bool = False
     # Addresses of a few nodes; only their hosts are used.
     seeds: list[str] = msgspec.field(default_factory=list)
+    # Names of the parts of the platform's rules that are in force.
+    contracts: list[str] = msgspec.field(default_factory=list)
 
 
 def load_gateway_settings(path: Path) -> Result[GatewaySettings, SettingsProblem]:
@@ -282,6 +291,7 @@
         first_start=file.bootstrap,
         seed_hosts=tuple(Address.parse(seed).host for seed in file.seeds),
         memory_bytes=None if memory_mb is None else int(memory_mb * 1024 * 1024),
+        sheds_load=OVERLOAD_CONTRACT in file.contracts,
     )
 
 
--- a/tests/gateway/test_pressure.py
+++ b/tests/gateway/test_pressure.py
@@ -1,5 +1,6 @@
 """Overload at one node: what is refused, with which reason, and what servers are told."""
 
+import msgspec
 import pytest
 
 from briarpond.gateway._pressure import measure_pressure
@@ -16,8 +17,10 @@
 MODEL = {"x_briarpond_model": "big", "x_briarpond_token_usage": "979,154"}
 
 
-def gateway_with(tmp_path, routes=(PLAN, URGENT), tenants=TENANTS):
+def gateway_with(tmp_path, routes=(PLAN, URGENT), tenants=TENANTS, sheds_load=True):
     gateway = Gateway(tmp_path, HEADS)
+    settings = gateway.state.settings
+    gateway.state.settings = msgspec.structs.replace(settings, sheds_load=sheds_load)
     document = config_bytes(routes=[*routes, *CONFIG["routes"][1:]], tenants=list(tenants))
     gateway.state.route_table = RouteTable(decode_configuration(document).ok)
     gateway.state.time_of_day = lambda: 0.0
@@ -76,10 +79,20 @@
     assert [full.send_request(f"/plan/{n}", **MODEL).status for n in range(3)] == [None] * 3
 
 
+def test_settings_without_load_shedding_leave_all_decisions_as_they_are(tmp_path):
+    """Guards against refusals and headers in deployments that do not ask for load shedding."""
+    gateway = gateway_with(tmp_path, sheds_load=False)
+    fill(gateway, SLOTS - 1)
+    assert not gateway.state.admitted_shares
+    replies = [gateway.send_request(f"/plan/{n}", **MODEL) for n in range(3)]
+    assert [reply.status for reply in replies] == [None] * 3
+    assert gateway.client.sent[0].header("x-briarpond-request-priority") is None
+
+
 def test_one_priority_leaves_all_decisions_as_they_are(tmp_path):
     """Guards against refusals and headers in deployments that have no priorities."""
     same = [{**route, "priority": 1} for route in (PLAN, URGENT, *CONFIG["routes"][1:])]
-    gateway = Gateway(tmp_path, HEADS)
+    gateway = gateway_with(tmp_path)
     document = config_bytes(routes=same, tenants=TENANTS)
     gateway.state.route_table = RouteTable(decode_configuration(document).ok)
     fill(gateway, SLOTS - 1)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -142,6 +142,15 @@
     assert settings.memory_bytes is None
 
 
+# Guards against load shedding in deployments whose settings do not ask for it.
+def test_load_is_shed_only_where_the_settings_ask_for_it(tmp_path):
+    path = tmp_path / "node.yaml"
+    path.write_text(SETTINGS)
+    assert not load_gateway_settings(path).ok.sheds_load
+    path.write_text(SETTINGS + "\ncontracts: [base, pressure]\n")
+    assert load_gateway_settings(path).ok.sheds_load
+
+
 # Guards against a room for bodies that does not follow from the machine's memory.
 def test_memory_of_the_machine_is_read(tmp_path):
     path = tmp_path / "node.yaml"
