--- a/tests/dispatch/load.py
+++ b/tests/dispatch/load.py
@@ -140,7 +140,9 @@
     def _report(self, node):
         rows: dict[int, list[int]] = {}
         for other in self._nodes:
-            for head, count, tokens in other.tracker.own_load_rows() if other is not node else ():
+            for head, count, tokens, _ in (
+                other.tracker.own_load_rows() if other is not node else ()
+            ):
                 total = rows.setdefault(head, [head, 0, 0])
                 total[1] += count
                 total[2] += tokens
