--- a/tests/gateway/test_stop_delivery.py
+++ b/tests/gateway/test_stop_delivery.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from ..soak.run import end_leftover_tasks
+from .real_node import run_with
 from .slow_callers import ANSWER_BYTES, LargeAnswerNode
 
 # Time from SIGTERM to the end of the stop, and to the kill of the process.
@@ -14,17 +14,7 @@
 
 def run_with_node(tmp_path, scenario):
     """Run `scenario` with a started node."""
-
-    async def run():
-        node = LargeAnswerNode(next(SEEDS), tmp_path, 1)
-        await node.start()
-        try:
-            return await scenario(node)
-        finally:
-            node.kill_nodes()
-            await end_leftover_tasks()
-
-    return asyncio.run(run())
+    return run_with(LargeAnswerNode(next(SEEDS), tmp_path, 1), scenario)
 
 
 # Guards against a stop that drops what a slow caller has not read yet of a complete answer.
--- a/tests/gateway/test_untrusted_callers.py
+++ b/tests/gateway/test_untrusted_callers.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ..soak.run import end_leftover_tasks
+from .real_node import run_with
 from .untrusted_callers import MAX_BODY_BYTES, MEMORY_MB, Crowd, CrowdedNode, alone, announced
 from .untrusted_callers import chunked as chunked_request
 
@@ -27,18 +27,8 @@
 
 def run_with_node(tmp_path, scenario):
     """Run `scenario` with a started node, and no other crowd meanwhile."""
-
-    async def run():
-        node = CrowdedNode(next(SEEDS), tmp_path, 1)
-        await node.start()
-        try:
-            return await scenario(node)
-        finally:
-            node.kill_nodes()
-            await end_leftover_tasks()
-
     with alone():
-        return asyncio.run(run())
+        return run_with(CrowdedNode(next(SEEDS), tmp_path, 1), scenario)
 
 
 def check_crowd(tmp_path, size, data, piece_bytes):
