--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -377,17 +377,16 @@
         if infeasible or late:
             self._abandon(group, now)
             return []
-        if len(group.ready_members) == len(group.members):
-            if group.stage is GroupStage.STAGING:
-                release(self._roster, group, now)
-                return []
-            if self._roster.is_evacuated(group):
-                return []
-            group.enter_stage(GroupStage.OPENING, now)
-            return self._orders_to_open(group, now)
+        all_ready = len(group.ready_members) == len(group.members)
+        if all_ready and group.stage is GroupStage.STAGING:
+            release(self._roster, group, now)
+            return []
         if self._roster.is_evacuated(group):
             # Loads that have begun go on and count; no other is asked for.
             return []
+        if all_ready:
+            group.enter_stage(GroupStage.OPENING, now)
+            return self._orders_to_open(group, now)
         not_ready = tuple(
             member
             for member in group.members
