The mean request of an engine is one function; the interval of the admitted share one check

Two places built the mean request from the engine's figures, and measuring the share repeated the check of its interval. Behaviour is the same; the tests of dispatch, placement, overload and evacuation pass.

--- a/briarpond/dispatch/_pressure.py
+++ b/briarpond/dispatch/_pressure.py
@@ -18,7 +18,7 @@
 
 from briarpond.routes import EngineSpec, ModelSpec
 
-from ._speed import RequestSize, slot_occupancy_s
+from ._speed import mean_request, slot_occupancy_s
 
 # Occupancy of a model's groups up to which every request is decided as without pressure. It is
 # far below the target: under overload the occupancy oscillates, and callers that repeat their
@@ -128,8 +128,7 @@
         Requests in flight at each of its groups.
     """
     counts = list(in_flight)
-    mean_request = RequestSize(int(engine.mean_prompt_tokens), int(engine.mean_answer_tokens))
-    slot_s = max(slot_occupancy_s(engine, spec, mean_request), 1e-3)
+    slot_s = max(slot_occupancy_s(engine, spec, mean_request(engine)), 1e-3)
     return ModelLoad(sum(counts), len(counts) * engine.slots, slot_s)
 
 
@@ -257,19 +256,18 @@
         self._recent: deque[tuple[int, int]] = deque(maxlen=REMEMBERED_REQUESTS)
         self._refused_until: dict[int, float] = {}
 
-    def is_due(self, now: float) -> bool:
-        """Whether `measure` would adapt the share."""
-        return self._measured is None or now - self._measured[1] >= SHARE_INTERVAL_S
+    def is_due(self, now: float, interval_s: float = SHARE_INTERVAL_S) -> bool:
+        """Whether `measure` would use the present load."""
+        return self._measured is None or now - self._measured[1] >= interval_s
 
     def measure(self, load: ModelLoad, now: float, interval_s: float = SHARE_INTERVAL_S) -> None:
         """Adapt the share to the present load, unless this was done within `interval_s`."""
-        if self._measured is None:
-            self._measured = load, now
+        if not self.is_due(now, interval_s):
             return
-        before, measured_at = self._measured
-        if now - measured_at >= interval_s:
+        if self._measured is not None:
+            before, measured_at = self._measured
             self.share = next_share(self.share, before, load, now - measured_at)
-            self._measured = load, now
+        self._measured = load, now
 
     def record_request(self, key: int, priority: int) -> None:
         """Count a request among the recent ones, unless the same content was counted before."""
--- a/briarpond/dispatch/_speed.py
+++ b/briarpond/dispatch/_speed.py
@@ -23,6 +23,11 @@
     answer_tokens: int
 
 
+def mean_request(engine: EngineSpec) -> RequestSize:
+    """Return the size of the mean request of an engine, as configured."""
+    return RequestSize(int(engine.mean_prompt_tokens), int(engine.mean_answer_tokens))
+
+
 def decode_step_s(engine: EngineSpec, spec: ModelSpec, running: int) -> float:
     """Return the seconds of one decode step, in which every running request gets a token.
 
@@ -86,11 +91,10 @@
     queue_position = in_flight - engine.slots + 1
     if queue_position <= 0:
         return prefill + step
-    mean_request = RequestSize(int(engine.mean_prompt_tokens), int(engine.mean_answer_tokens))
     return (
         prefill
         + step
-        + queue_position * slot_occupancy_s(engine, spec, mean_request) / engine.slots
+        + queue_position * slot_occupancy_s(engine, spec, mean_request(engine)) / engine.slots
     )
 
 
