--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -81,9 +81,10 @@
         self.record.note("configuration", self._version, names)
 
     def end(self) -> None:
-        """End all processes that were started."""
+        """End all processes that were started, and remove their files."""
         for node in self.nodes:
             node.kill()
+            node.remove_files()
 
 
 def stream_route(prefix: str, service: str) -> dict:
--- a/review/standins_2/node.py
+++ b/review/standins_2/node.py
@@ -5,6 +5,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -122,6 +123,10 @@
             self.process.kill()
             self.process.wait()
 
+    def remove_files(self) -> None:
+        """Remove the settings file and the log, once the process has ended."""
+        shutil.rmtree(self._folder, ignore_errors=True)
+
     def log_text(self) -> str:
         """Return what the process has logged so far."""
         path = self._folder / "log"
