--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,8 @@
-"""A server's own 500 counts as a survival, so a part that crashes servers is tried too often."""
+"""A part of a prompt with a long id crashes servers; requests with it are sent on without end."""
 
 import asyncio
 import itertools
+import os
 import sys
 from pathlib import Path
 
@@ -18,11 +19,13 @@
 
 DEADLINE_MS = 6000
 SERVERS = 16
-DEADLY_PART = "deadf00d"
+# Digits of the part's id; the example of the pages has 8, a SHA-256 digest has 64.
+ID_DIGITS = int(os.environ.get("ID_DIGITS", "64"))
+DEADLY_PART = "d" * ID_DIGITS
 SHARED_PART = "5c1e07a2"
 DEADLY_INTERVAL_S = 1.0
 SOUND_INTERVAL_S = 0.25
-PLAY_S = 75.0
+PLAY_S = 40.0
 STABLE_S = BOUNDS["stableWindowMs"] / 1000
 CRASHES_TO_NOTICE = 5
 ALLOWED = 3
@@ -34,7 +37,7 @@
 
 
 async def play(deployment: Deployment) -> bool:
-    """Let a server fail the first request with the part; the others crash their servers."""
+    """Send requests with the part among sound ones, and count those that reach servers."""
     record = deployment.record
     servers = await deployment.start_model_servers("pool", SERVERS, "d1")
     deployment.configure([stream_route("/a/", "pool")], [model_service("pool")])
@@ -57,18 +60,8 @@
     await asyncio.sleep(5.0)
 
     crashed_at: list[float] = []
-    failed: list[str] = []
-
-    def fails_on(request: Message) -> bool:
-        """Fail one request, before anything of an answer is written."""
-        if not trouble() or failed or not has_deadly_part(request):
-            return False
-        failed.append(request.headers["x-briarpond-request-id"])
-        return True
-
     for server in servers:
-        server.crashes_on = has_deadly_part
-        server.fails_on = fails_on
+        server.crashes_on = has_deadly_part if trouble() else lambda request: False
         server.on_crash = crashed_at.append
     tasks: list[asyncio.Task] = []
     deadly: set[str] = set()
