--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -31,9 +31,11 @@
     subset_size,
 )
 from briarpond.gateway._targets import COMPARED_GROUPS, MIN_SHARE_WITH_ROOM, SLOWDOWN_WEIGHT
-from briarpond.routes import EngineSpec, ModelSpec
+from briarpond.ids import ServiceName
+from briarpond.routes import EngineSpec, HostedModel, ModelName, ModelSpec
 
 NODES = 84
+HOSTED_MODEL = HostedModel(ServiceName("pool"), ModelName("model"))
 GROUPS = 18
 DATA_CENTRES = 3
 ACCOUNTS = 24
@@ -364,7 +366,7 @@
             running = tracker.total_load(engine.number).in_flight
             step_s = decode_step_s(ENGINE, MODEL, min(running, SLOTS))
             gap_s = self.now - request.last_at
-            request.node.paces.record_gap(engine.number, "model", gap_s, step_s, self.now)
+            request.node.paces.record_gap(engine.number, HOSTED_MODEL, gap_s, step_s, self.now)
         request.last_at = self.now
         written = request.events * request.forecast.tokens_per_event
         unwritten = request.forecast.remaining(written)
--- a/briarpond/directory/__init__.py
+++ b/briarpond/directory/__init__.py
@@ -8,6 +8,7 @@
     encode_config_record,
     encode_datagram,
 )
+from ._loads import demand_rows
 from ._members import MemberTable
 from ._models import (
     Answer,
@@ -61,6 +62,7 @@
     "SyncCallbacks",
     "decode_config_record",
     "decode_datagram",
+    "demand_rows",
     "encode_config_record",
     "encode_datagram",
 ]
--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -265,7 +265,7 @@
             )
             for each in load.servers
         ],
-        [ttypes.DemandRow(each.model, each.groups) for each in load.demand],
+        [ttypes.DemandRow(each.model, each.groups, each.service or None) for each in load.demand],
     )
 
 
@@ -280,7 +280,10 @@
             )
             for each in wire.servers
         ),
-        tuple(ModelDemand(ModelName(each.model), each.groups) for each in wire.demand),
+        tuple(
+            ModelDemand(ModelName(each.model), each.groups, ServiceName(each.service_name or ""))
+            for each in wire.demand
+        ),
     )
 
 
@@ -326,6 +329,7 @@
                 target.address.port,
                 target.data_centre,
                 target.cold or None,
+                target.service or None,
             )
             for target in delta.groups
         ],
@@ -364,6 +368,7 @@
         Address(wire.host, wire.port),
         DataCentre(wire.data_centre or ""),
         bool(wire.cold),
+        ServiceName(wire.service_name or ""),
     )
 
 
--- a/briarpond/directory/_loads.py
+++ b/briarpond/directory/_loads.py
@@ -1,9 +1,9 @@
 """Loads as other nodes report them, by source, and their sums."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from briarpond.ids import DataCentre, InstanceId, NodeId
-from briarpond.routes import ModelName
+from briarpond.routes import HostedModel
 
 from ._models import Load, ModelDemand, ServerInFlight
 from ._timing import LOAD_LIFETIME_S
@@ -70,18 +70,23 @@
 
 
 def sum_loads(loads: Iterable[Load]) -> Load:
-    """Return the sum of loads, by server and by model."""
+    """Return the sum of loads, by server and by hosted model."""
     servers: dict[InstanceId, ServerInFlight] = {}
-    demand: dict[ModelName, float] = {}
+    demand: dict[HostedModel, float] = {}
     for load in loads:
         for row in load.servers:
             total = servers.get(row.instance)
             servers[row.instance] = row if total is None else _add_rows(total, row)
         for each in load.demand:
-            demand[each.model] = demand.get(each.model, 0.0) + each.groups
-    return Load(
-        tuple(servers.values()),
-        tuple(ModelDemand(model, groups) for model, groups in demand.items()),
+            hosted = HostedModel(each.service, each.model)
+            demand[hosted] = demand.get(hosted, 0.0) + each.groups
+    return Load(tuple(servers.values()), demand_rows(demand))
+
+
+def demand_rows(demand: Mapping[HostedModel, float]) -> tuple[ModelDemand, ...]:
+    """Return the rows of the demand, in groups, for each model as a service hosts it."""
+    return tuple(
+        ModelDemand(hosted.model, groups, hosted.service) for hosted, groups in demand.items()
     )
 
 
@@ -114,7 +119,7 @@
 def subtract_load(total: Load, part: Load) -> Load:
     """Return a sum of loads without one that it contains."""
     servers = {row.instance: row for row in part.servers}
-    demand = {row.model: row.groups for row in part.demand}
+    demand = {HostedModel(row.service, row.model): row.groups for row in part.demand}
     rows = []
     for row in total.servers:
         own = servers.get(row.instance)
@@ -122,10 +127,8 @@
             row = _subtract_row(row, own)
         if row.in_flight:
             rows.append(row)
-    return Load(
-        tuple(rows),
-        tuple(
-            ModelDemand(row.model, max(0.0, row.groups - demand.get(row.model, 0.0)))
-            for row in total.demand
-        ),
-    )
+    remaining = {}
+    for each in total.demand:
+        hosted = HostedModel(each.service, each.model)
+        remaining[hosted] = max(0.0, each.groups - demand.get(hosted, 0.0))
+    return Load(tuple(rows), demand_rows(remaining))
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -33,7 +33,7 @@
 
 
 class ModelDemand(msgspec.Struct, frozen=True):
-    """Demand for a model.
+    """Demand for a model at one service.
 
     Attributes
     ----------
@@ -41,10 +41,13 @@
         Name of the model.
     groups : float
         Number of groups that the requests would fill.
+    service : ServiceName
+        Service that the requests go to; empty if a node does not tell it.
     """
 
     model: ModelName
     groups: float
+    service: ServiceName = ServiceName("")
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -81,6 +84,9 @@
         Where the head runs; empty if unknown.
     cold : bool
         Whether the head is cold and takes few requests.
+    service : ServiceName
+        Service that the members belong to; empty if the planner does not tell it. Requests for
+        another service must not be sent to the group, whatever model it serves.
     """
 
     group: GroupId
@@ -90,6 +96,7 @@
     address: Address
     data_centre: DataCentre = DataCentre("")
     cold: bool = False
+    service: ServiceName = ServiceName("")
 
 
 class PlainServerTarget(msgspec.Struct, frozen=True):
--- a/briarpond/directory/exchange.thrift
+++ b/briarpond/directory/exchange.thrift
@@ -13,10 +13,11 @@
   4: optional i32 unwritten_tokens
 }
 
-/** Groups of a model that callers' requests would fill. */
+/** Groups of a model that callers' requests to a service would fill. */
 struct DemandRow {
   1: required string model,
-  2: required double groups
+  2: required double groups,
+  3: optional string service_name
 }
 
 /** Loads and demand of the nodes of one data centre, or of one node. */
@@ -34,7 +35,8 @@
   5: required string host,
   6: required i32 port,
   7: optional string data_centre,
-  8: optional bool cold
+  8: optional bool cold,
+  9: optional string service_name
 }
 
 /** A plain server that takes requests. */
--- a/briarpond/directory/gen/exchange/ttypes.py
+++ b/briarpond/directory/gen/exchange/ttypes.py
@@ -115,18 +115,20 @@
 
 class DemandRow(object):
     """
-    Groups of a model that callers' requests would fill.
+    Groups of a model that callers' requests to a service would fill.
 
     Attributes:
      - model
      - groups
+     - service_name
 
     """
 
 
-    def __init__(self, model=None, groups=None,):
+    def __init__(self, model=None, groups=None, service_name=None,):
         self.model = model
         self.groups = groups
+        self.service_name = service_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -147,6 +149,11 @@
                     self.groups = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -165,6 +172,10 @@
             oprot.writeFieldBegin('groups', TType.DOUBLE, 2)
             oprot.writeDouble(self.groups)
             oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -292,11 +303,12 @@
      - port
      - data_centre
      - cold
+     - service_name
 
     """
 
 
-    def __init__(self, group=None, epoch=None, model=None, head=None, host=None, port=None, data_centre=None, cold=None,):
+    def __init__(self, group=None, epoch=None, model=None, head=None, host=None, port=None, data_centre=None, cold=None, service_name=None,):
         self.group = group
         self.epoch = epoch
         self.model = model
@@ -305,6 +317,7 @@
         self.port = port
         self.data_centre = data_centre
         self.cold = cold
+        self.service_name = service_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -355,6 +368,11 @@
                     self.cold = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -397,6 +415,10 @@
             oprot.writeFieldBegin('cold', TType.BOOL, 8)
             oprot.writeBool(self.cold)
             oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 9)
+            oprot.writeString(self.service_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2310,6 +2332,7 @@
     None,  # 0
     (1, TType.STRING, 'model', None, None, ),  # 1
     (2, TType.DOUBLE, 'groups', None, None, ),  # 2
+    (3, TType.STRING, 'service_name', None, None, ),  # 3
 )
 all_structs.append(Load)
 Load.thrift_spec = (
@@ -2328,6 +2351,7 @@
     (6, TType.I32, 'port', None, None, ),  # 6
     (7, TType.STRING, 'data_centre', None, None, ),  # 7
     (8, TType.BOOL, 'cold', None, None, ),  # 8
+    (9, TType.STRING, 'service_name', None, None, ),  # 9
 )
 all_structs.append(PlainRow)
 PlainRow.thrift_spec = (
--- a/briarpond/dispatch/_pace.py
+++ b/briarpond/dispatch/_pace.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from briarpond.ids import InstanceId
-from briarpond.routes import ModelName
+from briarpond.routes import HostedModel
 
 # Weight of the newest gap in the moving average of a head.
 SMOOTHING_FACTOR = 0.2
@@ -36,8 +36,8 @@
 
     Attributes
     ----------
-    model : ModelName
-        Model that the group of the head hosts.
+    hosted : HostedModel
+        Service and model of the head's group; only heads with the same one are compared.
     mean_gap_s : float
         Moving average in seconds.
     samples : int
@@ -46,7 +46,7 @@
         Monotonic time of the last event.
     """
 
-    model: ModelName
+    hosted: HostedModel
     mean_gap_s: float
     samples: int
     updated_at: float
@@ -58,11 +58,11 @@
     def __init__(self) -> None:
         self._heads: dict[InstanceId, _HeadGap] = {}
 
-    def record_gap(self, head: InstanceId, model: ModelName, gap_s: float, now: float) -> None:
+    def record_gap(self, head: InstanceId, hosted: HostedModel, gap_s: float, now: float) -> None:
         """Record an event that came `gap_s` seconds after the one before it in its stream."""
         average = self._heads.get(head)
         if average is None or now - average.updated_at > MAX_SAMPLE_AGE_S:
-            self._heads[head] = _HeadGap(model, gap_s, 1, now)
+            self._heads[head] = _HeadGap(hosted, gap_s, 1, now)
             return
         average.mean_gap_s += SMOOTHING_FACTOR * (gap_s - average.mean_gap_s)
         average.samples += 1
@@ -73,11 +73,11 @@
         self._heads.pop(head, None)
 
     def slow_heads(self, now: float) -> list[InstanceId]:
-        """Return the heads whose mean gap is far above the median of their model."""
-        gaps_by_model: dict[ModelName, list[tuple[InstanceId, float]]] = defaultdict(list)
+        """Return the heads whose mean gap is far above the median of those of their model."""
+        gaps_by_model: dict[HostedModel, list[tuple[InstanceId, float]]] = defaultdict(list)
         for head, gap in self._heads.items():
             if now - gap.updated_at <= MAX_SAMPLE_AGE_S and gap.samples >= MIN_SAMPLES:
-                gaps_by_model[gap.model].append((head, gap.mean_gap_s))
+                gaps_by_model[gap.hosted].append((head, gap.mean_gap_s))
         slow = []
         for gaps in gaps_by_model.values():
             if len(gaps) < MIN_COMPARED_HEADS:
@@ -92,8 +92,8 @@
 
     Attributes
     ----------
-    model : ModelName
-        Model that the group of the head hosts.
+    hosted : HostedModel
+        Service and model of the head's group.
     mean : float
         Moving average.
     samples : int
@@ -102,7 +102,7 @@
         Monotonic time of the last one.
     """
 
-    model: ModelName
+    hosted: HostedModel
     mean: float
     samples: int
     updated_at: float
@@ -120,13 +120,18 @@
         self._heads: dict[InstanceId, _HeadPace] = {}
 
     def record_gap(
-        self, head: InstanceId, model: ModelName, gap_s: float, expected_step_s: float, now: float
+        self,
+        head: InstanceId,
+        hosted: HostedModel,
+        gap_s: float,
+        expected_step_s: float,
+        now: float,
     ) -> None:
         """Record the time between two events where a decode step is expected to take a time."""
         multiple = gap_s / max(expected_step_s, 1e-6)
         pace = self._heads.get(head)
-        if pace is None or pace.model != model:
-            self._heads[head] = _HeadPace(model, multiple, 1, now)
+        if pace is None or pace.hosted != hosted:
+            self._heads[head] = _HeadPace(hosted, multiple, 1, now)
             return
         weight = max(PACE_SMOOTHING_FACTOR, 1 / (pace.samples + 1))
         pace.mean += weight * (multiple - pace.mean)
@@ -136,8 +141,8 @@
     def pace(self, head: InstanceId, now: float) -> float:
         """Return the step time of a head's group in multiples of the median of its model.
 
-        It is 1 while too little is known, and returns to 1 when no gaps are measured, so that a
-        group is tried again.
+        Only heads of the same service are compared. The result is 1 while too little is known,
+        and returns to 1 when no gaps are measured, so that a group is tried again.
         """
         own = self._heads.get(head)
         if own is None or own.samples < MIN_SAMPLES:
@@ -145,7 +150,7 @@
         means = [
             each.mean
             for each in self._heads.values()
-            if each.model == own.model and each.samples >= MIN_SAMPLES
+            if each.hosted == own.hosted and each.samples >= MIN_SAMPLES
         ]
         if len(means) < MIN_COMPARED_HEADS:
             return 1.0
--- a/briarpond/fleet/_groups.py
+++ b/briarpond/fleet/_groups.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from briarpond.ids import GroupId, InstanceId
+from briarpond.ids import GroupId, InstanceId, ServiceName
 from briarpond.net import Address
 from briarpond.routes import ModelName
 
@@ -19,6 +19,8 @@
     ----------
     epoch : int
         Fencing token of the group.
+    service : ServiceName
+        Service that the members belong to.
     model : ModelName
         Model that the head has loaded.
     head_address : Address
@@ -31,6 +33,7 @@
 
     id: GroupId
     epoch: int
+    service: ServiceName
     model: ModelName
     head: InstanceId
     head_address: Address
@@ -42,20 +45,30 @@
     """Return the groups whose head is among the instances.
 
     A group is left out if its head is missing or has no model loaded; other members
-    may be missing.
+    may be missing. An instance that has gone over to another service is no member.
     """
-    members: dict[tuple[GroupId, int], list[Instance]] = defaultdict(list)
+    members: dict[tuple[ServiceName, GroupId, int], list[Instance]] = defaultdict(list)
     for instance in instances:
-        if instance.membership is not None:
-            members[instance.membership.group, instance.membership.epoch].append(instance)
+        membership = instance.membership
+        if membership is not None:
+            members[instance.service, membership.group, membership.epoch].append(instance)
     groups = []
-    for (name, epoch), listed_members in members.items():
+    for (service, name, epoch), listed_members in members.items():
         listed_members.sort(key=lambda member: member.membership.rank if member.membership else 0)
         head = listed_members[0]
         if head.membership is None or head.membership.rank != 0 or head.model is None:
             continue
         ids = tuple(member.id for member in listed_members)
         groups.append(
-            ListedGroup(name, epoch, head.model, head.id, head.address, head.membership.state, ids)
+            ListedGroup(
+                name,
+                epoch,
+                service,
+                head.model,
+                head.id,
+                head.address,
+                head.membership.state,
+                ids,
+            )
         )
     return groups
--- a/briarpond/gateway/_cold_link.py
+++ b/briarpond/gateway/_cold_link.py
@@ -1,6 +1,6 @@
 """Connects the pacing of requests to cold servers to the routing targets and the logs."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from briarpond.directory import RoutingTargets
 from briarpond.dispatch import ColdLimit, ColdSends
@@ -110,28 +110,14 @@
 def cold_limits(
     targets: RoutingTargets, config: GatewayConfiguration | None, bounds: BoundSettings
 ) -> dict[InstanceId, ColdLimit]:
-    """Return what each cold target can take; targets without a limit are left out.
-
-    The row of a group does not name the service. If several services host its model, the
-    lowest limit counts.
-    """
+    """Return what each cold target can take; targets without a limit are left out."""
     if config is None or bounds.cold is None:
         return {}
-    limits = {}
-    for group in targets.groups:
-        if group.cold:
-            hosts = [
-                spec
-                for spec in config.services.values()
-                if spec.engine is not None and spec.engine.model(group.model) is not None
-            ]
-            limits[group.head] = _lowest_limit(hosts, bounds)
-    for server in targets.servers:
-        if server.cold and server.service in config.services:
-            limits[server.instance] = cold_limit(config.services[server.service], bounds)
+    cold_targets = [(each.head, each.service) for each in targets.groups if each.cold]
+    cold_targets += [(each.instance, each.service) for each in targets.servers if each.cold]
+    limits = {
+        server: cold_limit(config.services[service], bounds)
+        for server, service in cold_targets
+        if service in config.services
+    }
     return {server: limit for server, limit in limits.items() if limit is not None}
-
-
-def _lowest_limit(specs: Iterable[ServiceSpec], bounds: BoundSettings) -> ColdLimit | None:
-    limits = [limit for spec in specs if (limit := cold_limit(spec, bounds)) is not None]
-    return min(limits, key=lambda limit: limit.per_s, default=None)
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -80,7 +80,7 @@
         )
         self.occupancy = Gauge(
             "briarpond_gateway_occupancy",
-            "Requests in flight for each slot of a model's groups, as this node knows them.",
+            "Requests in flight for each slot of a model's groups at a service, as known here.",
             registry=self.registry,
         )
         self.overload_refusals = Counter(
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -1,11 +1,12 @@
 """Runs the planners while this node holds the lease, and sends their orders and plans."""
 
 import itertools
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
 
 from briarpond.directory import GroupTarget, ModelDemand, Plan, RoutingTargets
 from briarpond.fleet import MemberState
-from briarpond.ids import InstanceId, ServiceName
+from briarpond.ids import GroupId, InstanceId, ServiceName
 from briarpond.logs import log_event, log_warning
 from briarpond.net import Exchange, LossReason
 from briarpond.placement import GroupStage, LoadBudget, Order, OrderKind, PlannedGroup, Planner
@@ -77,7 +78,7 @@
         # Since when this node held the lease without interruption when it last planned.
         self._held_since = float("-inf")
         self._group_numbers = itertools.count(1)
-        self._stages: dict[str, GroupStage] = {}
+        self._stages: dict[ServiceName, dict[GroupId, GroupStage]] = {}
 
     @property
     def planning(self) -> bool:
@@ -122,9 +123,10 @@
             if self.taking_over:
                 self._publish_listed_groups(now)
             return
+        demand = self._peers.sync.demand(now)
         for spec in config.services.values():
             if spec.engine is not None and spec.engine.models:
-                self._step_service(spec, now)
+                self._step_service(spec, demand, now)
         self._publish(now)
 
     def _is_paused(self, now: float) -> bool:
@@ -229,7 +231,7 @@
             self._stages.clear()
             self._peers.announce()
 
-    def _step_service(self, spec: ServiceSpec, now: float) -> None:
+    def _step_service(self, spec: ServiceSpec, demand: Sequence[ModelDemand], now: float) -> None:
         """Plan for one service: update its planner, probe instances, send orders."""
         planner = self._planners.get(spec.name) or self._start_planner(spec, now)
         state = self._state
@@ -245,12 +247,14 @@
         for instance in (*planner.lost, *planner.slow):
             if now - self._probed_at.get(instance, now) > PROBE_INTERVAL_S:
                 self._probe(planner, instance, 0)
-        for order in planner.next_orders(self._demand(now), now):
+        if demand:
+            planner.limit_loads()
+        for order in planner.next_orders(demand_of_service(demand, spec.name), now):
             self._send_order(planner, order)
         for instance in planner.instances_to_verify():
             if now - self._probed_at.get(instance, -PROBE_INTERVAL_S) >= PROBE_INTERVAL_S:
                 self._probe(planner, instance, 0)
-        self._log_stages(planner)
+        self._log_stages(spec.name, planner)
 
     def _start_planner(self, spec: ServiceSpec, now: float) -> Planner:
         assert spec.engine is not None
@@ -276,11 +280,6 @@
         log_event("planner_start", term=self._term, service=spec.name)
         return planner
 
-    def _demand(self, now: float) -> dict[ModelName, float]:
-        """Return how many groups of each model the requests to all nodes would fill."""
-        rows: tuple[ModelDemand, ...] = self._peers.sync.demand(now)
-        return {row.model: row.groups for row in rows}
-
     def _publish_listed_groups(self, now: float) -> None:
         """Before planning may begin, publish the groups that the instance list shows as open.
 
@@ -302,9 +301,9 @@
         """Put the present targets into force here, and send them at once if they changed."""
         groups = tuple(
             target
-            for planner in self._planners.values()
+            for service, planner in self._planners.items()
             for group in planner.serving_groups(now)
-            if (target := self._group_target(group, now)) is not None
+            if (target := self._group_target(service, group, now)) is not None
         )
         self._publish_targets(RoutingTargets(groups, self._state.own_targets().servers), now)
 
@@ -325,7 +324,9 @@
             self._state.metrics.groups.set({}, len(targets.groups))
             self._peers.announce(delta=plan_log.delta_since(previous))
 
-    def _group_target(self, group: PlannedGroup, now: float) -> GroupTarget | None:
+    def _group_target(
+        self, service: ServiceName, group: PlannedGroup, now: float
+    ) -> GroupTarget | None:
         head = self._state.fleet.get(group.head)
         if head is None or group.head in self._state.fleet.unavailable_since:
             return None
@@ -337,6 +338,7 @@
             head.address,
             head.data_centre,
             self._state.is_cold(group.head, now),
+            service,
         )
 
     def _send_order(self, planner: Planner, order: Order) -> None:
@@ -431,24 +433,26 @@
             log_event("instance_pace", instance=instance, pace=pace, slow=slow)
         planner.set_slow(instance, slow)
 
-    def _log_stages(self, planner: Planner) -> None:
+    def _log_stages(self, service: ServiceName, planner: Planner) -> None:
         """Log each group whose stage changed since the last step, and dissolved groups."""
+        previous_stages = self._stages.get(service, {})
         present_stages = {}
         for group in planner.groups.values():
             present_stages[group.id] = group.stage
-            if self._stages.get(group.id) is not group.stage:
+            if previous_stages.get(group.id) is not group.stage:
                 log_event(
                     "group",
                     group=group.id,
                     epoch=group.epoch,
+                    service=service,
                     model=group.model,
                     stage=group.stage.value,
                     members="+".join(group.members),
                 )
-        for group_id in self._stages:
+        for group_id in previous_stages:
             if group_id not in present_stages:
-                log_event("group", group=group_id, stage="dissolved")
-        self._stages = present_stages
+                log_event("group", group=group_id, service=service, stage="dissolved")
+        self._stages[service] = present_stages
 
 
 # An instance that reports a pace above this is marked slow, because it slows down its whole
@@ -456,6 +460,20 @@
 SLOW_PACE_FACTOR = 1.8
 
 
+def demand_of_service(
+    demand: Iterable[ModelDemand], service: ServiceName
+) -> dict[ModelName, float]:
+    """Return how many groups of each model the requests to a service would fill.
+
+    A row of a node of an older release names no service and counts for each one.
+    """
+    groups: dict[ModelName, float] = defaultdict(float)
+    for row in demand:
+        if row.service in (service, ""):
+            groups[row.model] += row.groups
+    return dict(groups)
+
+
 def _encode_order(order: Order) -> bytes:
     match order.kind:
         case OrderKind.JOIN:
--- a/briarpond/gateway/_pressure.py
+++ b/briarpond/gateway/_pressure.py
@@ -17,7 +17,7 @@
     spread_retry_after_s,
 )
 from briarpond.platform import PlatformHeader
-from briarpond.routes import EngineSpec, ModelName, ModelSpec
+from briarpond.routes import EngineSpec, HostedModel, ModelSpec
 
 from ._request_context import RequestContext
 from ._state import NodeState
@@ -43,17 +43,19 @@
         if spec.engine is None or len(table.priorities.get(service, ())) < 2:
             continue
         for model in spec.engine.models:
-            admitted = _admitted(state, model.name)
+            hosted = HostedModel(service, model.name)
+            admitted = _admitted(state, hosted)
             # A relay hears of loads many times in this interval.
             if not admitted.is_due(now):
                 continue
-            load = load_of_model(state, spec.engine, model, now)
+            load = load_of_model(state, hosted, spec.engine, model, now)
             admitted.measure(load, now)
-            state.metrics.occupancy.set({"model": model.name}, load.occupancy)
+            labels = {"service": service, "model": model.name}
+            state.metrics.occupancy.set(labels, load.occupancy)
 
 
-def _admitted(state: NodeState, model: ModelName) -> AdmittedShare:
-    return state.admitted_shares.setdefault(model, AdmittedShare())
+def _admitted(state: NodeState, hosted: HostedModel) -> AdmittedShare:
+    return state.admitted_shares.setdefault(hosted, AdmittedShare())
 
 
 class Pressure(msgspec.Struct, frozen=True):
@@ -106,8 +108,8 @@
         priorities = context.priorities
         if engine is None or spec is None or len(priorities) < 2:
             return Pressure()
-        load = load_of_model(state, engine, spec, now)
-        admitted = _admitted(state, spec.name)
+        load = load_of_model(state, context.hosted_model, engine, spec, now)
+        admitted = _admitted(state, context.hosted_model)
         admitted.measure(load, now, UNHEARD_S)
         key = self._record(admitted)
         position = admitted.position(key, context.priority, priorities, state.time_of_day())
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -8,7 +8,7 @@
 from briarpond.ids import InstanceId, PromptPart, ServiceName
 from briarpond.platform import PlatformHeader
 from briarpond.quarantine import Block
-from briarpond.routes import EngineSpec, Route, Tenant, request_priority
+from briarpond.routes import EngineSpec, HostedModel, Route, Tenant, request_priority
 
 from ._caller_request import CallerRequest
 from ._request_cost import RequestCost
@@ -48,6 +48,11 @@
         """Whether a group of instances runs the request, and not a plain server."""
         return self.state.engine(self.service) is not None
 
+    @property
+    def hosted_model(self) -> HostedModel:
+        """The model that the request names, at the service that it goes to."""
+        return HostedModel(self.service, self.caller.model)
+
     @property
     def priority(self) -> int:
         """Priority of the request; 0 is the most urgent."""
@@ -97,13 +102,13 @@
 
     def record_step(self, server: InstanceId, gap_s: float, now: float) -> None:
         """Compare the gap between two events of a group with its expected decode step."""
-        engine, model = self.state.engine(self.service), self.caller.model
-        spec = None if engine is None else engine.model(model)
+        engine = self.state.engine(self.service)
+        spec = None if engine is None else engine.model(self.caller.model)
         if engine is None or spec is None:
             return
         running = min(self.state.load_tracker.total_load(server).in_flight, engine.slots)
         step_s = decode_step_s(engine, spec, running)
-        self.state.step_paces.record_gap(server, model, gap_s, step_s, now)
+        self.state.step_paces.record_gap(server, self.hosted_model, gap_s, step_s, now)
 
     def learn_cost(self, now: float) -> None:
         """Learn from a whole answer that came as a stream from its first event on."""
@@ -169,4 +174,4 @@
         return best_server(state, context.service, tried, now, state.rng)
     caller = context.caller
     forecast = context.predict_cost(engine, now)
-    return best_group(state, engine, caller.model, caller.size, tried, now, forecast)
+    return best_group(state, context.hosted_model, caller.size, tried, now, forecast)
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -125,7 +125,7 @@
         state.retry_budget(self._service).record_request(now)
         engine = state.engine(self._service)
         if engine is not None:
-            state.count_demand(self._caller.model, engine, self._caller.size, now)
+            state.count_demand(self._context.hosted_model, engine, self._caller.size, now)
         state.clock.after(self._caller.expires_at - now, self._on_timeout)
         self.try_send()
 
--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -314,7 +314,8 @@
         """Note that events have arrived; bytes that complete none are no progress."""
         if self.first_event_seen:
             gap_s = now - self.last_progress
-            self._state.event_gap_tracker.record_gap(self.server, self._caller.model, gap_s, now)
+            hosted = self._context.hosted_model
+            self._state.event_gap_tracker.record_gap(self.server, hosted, gap_s, now)
             self._context.record_step(self.server, gap_s / event_count, now)
         change = self._cost.add_events(event_count)
         self._state.load_tracker.change_unwritten(self.server, change)
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -3,7 +3,9 @@
 import random
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+
+import msgspec
 
 from briarpond.directory import (
     RELAY_INTERVAL_S,
@@ -15,6 +17,7 @@
     PlanVersion,
     RoutingTargets,
     ServerInFlight,
+    demand_rows,
 )
 from briarpond.dispatch import (
     AdmittedShare,
@@ -30,11 +33,11 @@
     slot_occupancy_s,
 )
 from briarpond.fleet import FleetView, InstanceState, ListedGroup, MemberState, assemble_groups
-from briarpond.ids import DataCentre, InstanceId, NodeId, ServiceName
+from briarpond.ids import DataCentre, GroupId, InstanceId, NodeId, ServiceName
 from briarpond.net import Clock, HttpClient
 from briarpond.platform import GatewaySettings
 from briarpond.quarantine import Quarantine
-from briarpond.routes import EngineSpec, GatewayConfiguration, ModelName, RouteTable
+from briarpond.routes import EngineSpec, GatewayConfiguration, HostedModel, RouteTable
 
 from ._cold_link import ColdLink, cold_limit
 from ._kept_bytes import KeptBytes
@@ -70,6 +73,24 @@
     return drain_within_s - OWN_READ_TIME_S
 
 
+def complete_target(
+    target: GroupTarget, listed: Mapping[tuple[GroupId, int, InstanceId], ServiceName]
+) -> GroupTarget:
+    """Return a group of a plan with its service, if the plan or the list tells it.
+
+    Parameters
+    ----------
+    target : GroupTarget
+        The group as the planner tells it.
+    listed : mapping
+        Service of each listed group, by name, epoch and head.
+    """
+    if target.service:
+        return target
+    service = listed.get((target.group, target.epoch, target.head), target.service)
+    return msgspec.structs.replace(target, service=service)
+
+
 class NodeState:
     """Configuration in force, fleet view, loads and plan of one node.
 
@@ -140,7 +161,7 @@
         self.event_gap_tracker = EventGapTracker()
         self.answer_lengths = AnswerLengths()
         self.step_paces = StepPaces()
-        self.admitted_shares: dict[ModelName, AdmittedShare] = {}
+        self.admitted_shares: dict[HostedModel, AdmittedShare] = {}
         self.metrics = GatewayMetrics()
         self.kept_bytes = KeptBytes()
         self.cold_link = ColdLink(settings.node, clock.now(), self._cold_until)
@@ -159,8 +180,11 @@
         self._planner_heard_at = float("-inf")
         self._retry_budgets: dict[ServiceName, SharedRetryBudget] = {}
         self._avoided_until: dict[InstanceId, float] = {}
-        self._recent_demand: deque[tuple[float, ModelName, float]] = deque()
+        self._recent_demand: deque[tuple[float, HostedModel, float]] = deque()
         self._targets = RoutingTargets()
+        self._plan_lacks_services = False
+        self._completed_groups: tuple[GroupTarget, ...] = ()
+        self._completed_groups_key: tuple[PlanVersion, int] | None = None
         self.targets_version = PlanVersion(-1, -1)
         self._own_targets = RoutingTargets()
         # What the own targets follow from, and until when they hold if that does not change.
@@ -219,6 +243,7 @@
         if plan.targets is not None:
             self._stop_avoiding_new_heads(plan.targets)
             self._targets = plan.targets
+            self._plan_lacks_services = any(not each.service for each in plan.targets.groups)
             self.targets_version = version
         self.plan = plan
         if self.targets_version == version:
@@ -277,7 +302,7 @@
 
         It need not while a plan is in force whose sender follows the list.
         """
-        if self.plan is None or not self.plan.list_is_current:
+        if self.plan is None or not self.plan.list_is_current or self._plan_lacks_services:
             return True
         return not self.plan_is_in_force(now) or self.plan_list_age(now) > self._plan_lifetime_s()
 
@@ -291,9 +316,29 @@
         read the instance list anew.
         """
         if self.plan_is_in_force(now) or self._list_is_older_than(self._plan_confirmed_at):
-            return self._targets.groups
+            return self._planned_groups()
         return self.own_targets().groups
 
+    def _planned_groups(self) -> tuple[GroupTarget, ...]:
+        """Return the groups of the plan, with what a planner of an older release does not tell.
+
+        It is taken from this node's own view of the list, and stays unknown for groups that
+        are not there.
+        """
+        if not self._plan_lacks_services:
+            return self._targets.groups
+        key = (self.targets_version, self.fleet.version)
+        if key != self._completed_groups_key:
+            listed = {
+                (group.id, group.epoch, group.head): group.service
+                for group in assemble_groups(self.fleet.all_instances())
+            }
+            self._completed_groups = tuple(
+                complete_target(target, listed) for target in self._targets.groups
+            )
+            self._completed_groups_key = key
+        return self._completed_groups
+
     def servers(self, now: float) -> tuple[PlainServerTarget, ...]:
         """Return the plain servers that requests may be sent to."""
         if not self._uses_own_list(now):
@@ -362,25 +407,25 @@
         return now < self._avoided_until.get(server, 0.0)
 
     def count_demand(
-        self, model: ModelName, engine: EngineSpec, request_size: RequestSize, now: float
+        self, hosted: HostedModel, engine: EngineSpec, request_size: RequestSize, now: float
     ) -> None:
-        """Add a caller's request to the demand for its model."""
+        """Add a caller's request to the demand for its model at a service."""
         self.has_served = True
-        spec = engine.model(model)
+        spec = engine.model(hosted.model)
         if spec is not None:
             group_share = slot_occupancy_s(engine, spec, request_size) / (
                 engine.slots * TARGET_FILL
             )
-            self._recent_demand.append((now, model, group_share))
+            self._recent_demand.append((now, hosted, group_share))
 
     def demand(self, now: float) -> tuple[ModelDemand, ...]:
         """Return how many groups of each model the requests to this node would fill."""
         while self._recent_demand and self._recent_demand[0][0] < now - DEMAND_WINDOW_S:
             self._recent_demand.popleft()
-        sums: dict[ModelName, float] = {}
-        for _, model, group_share in self._recent_demand:
-            sums[model] = sums.get(model, 0.0) + group_share / DEMAND_WINDOW_S
-        return tuple(ModelDemand(model, groups) for model, groups in sums.items())
+        sums: dict[HostedModel, float] = {}
+        for _, hosted, group_share in self._recent_demand:
+            sums[hosted] = sums.get(hosted, 0.0) + group_share / DEMAND_WINDOW_S
+        return demand_rows(sums)
 
     def own_load(self, now: float) -> Load:
         """Return this node's requests in flight and its demand."""
@@ -413,6 +458,7 @@
             group.head_address,
             data_centre,
             self.is_cold(group.head, now),
+            group.service,
         )
 
     def _own_servers(self, now: float) -> tuple[PlainServerTarget, ...]:
@@ -429,4 +475,6 @@
             if listed_instance.state is InstanceState.READY
             and listed_instance.id not in self.fleet.unavailable_since
             and self.engine(listed_instance.service) is None
+            # A service may have lost its engine while its groups still serve.
+            and listed_instance.membership is None
         )
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -18,7 +18,7 @@
 )
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.net import Address
-from briarpond.routes import EngineSpec, ModelName, ModelSpec
+from briarpond.routes import EngineSpec, HostedModel, ModelSpec
 
 from ._evacuation import is_evacuated
 from ._state import NodeState
@@ -93,8 +93,7 @@
 
 def best_group(
     state: NodeState,
-    engine: EngineSpec,
-    model: ModelName,
+    hosted: HostedModel,
     request_size: RequestSize,
     tried: Container[InstanceId],
     now: float,
@@ -109,10 +108,8 @@
     ----------
     state : NodeState
         Groups in force, loads and avoided servers.
-    engine : EngineSpec
-        Speed and size of the service's groups.
-    model : ModelName
-        Model that the request names.
+    hosted : HostedModel
+        Service that the request goes to, and the model that it names.
     request_size : RequestSize
         Size of the request.
     tried : container of InstanceId
@@ -126,13 +123,14 @@
     -------
     ServerChoice or None
         A group with room if there is one, otherwise the best full group; None if no
-        group serves the model.
+        group of the service serves the model.
     """
-    spec = engine.model(model)
-    if spec is None:
+    engine = state.engine(hosted.service)
+    spec = None if engine is None else engine.model(hosted.model)
+    if engine is None or spec is None:
         return None
     usable_groups = [
-        group for group in _groups_of_model(state, model, now) if group.head not in tried
+        group for group in _groups_of_model(state, hosted, now) if group.head not in tried
     ]
     preferred_groups = state.group_preferences.sort(usable_groups)
     free = [each for each in preferred_groups if _has_room(state, engine, each.head, now)]
@@ -161,19 +159,22 @@
     return msgspec.structs.replace(choice, is_cold_detour=True)
 
 
-def load_of_model(state: NodeState, engine: EngineSpec, spec: ModelSpec, now: float) -> ModelLoad:
-    """Return the load of all groups together that requests for a model may be sent to."""
-    groups = _groups_of_model(state, spec.name, now)
+def load_of_model(
+    state: NodeState, hosted: HostedModel, engine: EngineSpec, spec: ModelSpec, now: float
+) -> ModelLoad:
+    """Return the load of all groups together that requests for a hosted model may be sent to."""
+    groups = _groups_of_model(state, hosted, now)
     tracker = state.load_tracker
     return model_load(engine, spec, [tracker.total_load(each.head).in_flight for each in groups])
 
 
-def _groups_of_model(state: NodeState, model: ModelName, now: float) -> list[GroupTarget]:
-    """Return the groups of a model that requests may be sent to."""
+def _groups_of_model(state: NodeState, hosted: HostedModel, now: float) -> list[GroupTarget]:
+    """Return the groups of a service and a model that requests may be sent to."""
     return [
         group
         for group in state.groups(now)
-        if group.model == model
+        if group.service == hosted.service
+        and group.model == hosted.model
         and not state.has_left(group.head, now)
         and not state.is_avoided(group.head, now)
         and not is_evacuated(state, group.head, group.data_centre)
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -143,6 +143,10 @@
         """Use a new term for the epochs of later groups, after the lease was renewed."""
         self._formation.term = max(self._formation.term, term)
 
+    def limit_loads(self) -> None:
+        """Keep to the limit on loads from now on, since callers have come."""
+        self._load_budget.enforced = True
+
     def mark_lost(self, instance: InstanceId, now: float) -> None:
         """Record that an instance does not answer."""
         self.lost[instance] = now
@@ -235,7 +239,8 @@
             Groups of each model that callers' requests would fill; empty before the
             first request.
         """
-        self._load_budget.enforced = self._load_budget.enforced or bool(demand)
+        if demand:
+            self.limit_loads()
         orders = self._orders_to_orphans(now)
         for group in list(self.groups.values()):
             orders += self._advance(group, now)
--- a/briarpond/routes/_models.py
+++ b/briarpond/routes/_models.py
@@ -199,6 +199,21 @@
         return next((model for model in self.models if model.name == name), None)
 
 
+class HostedModel(msgspec.Struct, frozen=True):
+    """A model as one service hosts it: several services may host models of the same name.
+
+    Attributes
+    ----------
+    service : ServiceName
+        The service.
+    model : ModelName
+        Name of the model.
+    """
+
+    service: ServiceName
+    model: ModelName
+
+
 class ServiceSpec(msgspec.Struct, frozen=True):
     """A service.
 
--- a/tests/dispatch/test_cost.py
+++ b/tests/dispatch/test_cost.py
@@ -14,6 +14,7 @@
     estimate_in_group,
 )
 from briarpond.platform import decode_configuration
+from briarpond.routes import HostedModel
 
 from ..platform_samples import config_bytes
 
@@ -156,7 +157,7 @@
     paces = StepPaces()
     for tick in range(20):
         for head, gap in (("a", 0.05), ("b", 0.05), ("c", 0.05), ("d", 0.1)):
-            paces.record_gap(head, "big", gap, 0.01, tick * 0.1)
+            paces.record_gap(head, HostedModel("pool", "big"), gap, 0.01, tick * 0.1)
     assert paces.pace("a", 2.0) == pytest.approx(1.0)
     assert paces.pace("d", 2.0) == pytest.approx(2.0, rel=0.05)
     assert paces.pace("d", 60.0) < 1.05
@@ -169,5 +170,5 @@
     paces = StepPaces()
     for tick in range(20):
         for head, step in (("a", 0.01), ("b", 0.01), ("c", 0.02)):
-            paces.record_gap(head, "big", 5 * step, step, tick * 0.1)
+            paces.record_gap(head, HostedModel("pool", "big"), 5 * step, step, tick * 0.1)
     assert paces.pace("c", 2.0) == pytest.approx(1.0)
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -16,6 +16,7 @@
     slot_occupancy_s,
 )
 from briarpond.platform import decode_configuration
+from briarpond.routes import HostedModel
 
 from ..platform_samples import config_bytes
 
@@ -101,7 +102,7 @@
     for tick in range(20):
         now = tick * 0.05
         for head, gap in (("a", 0.05), ("b", 0.06), ("c", 0.05), ("d", 0.2)):
-            tracker.record_gap(head, "big", gap, now)
+            tracker.record_gap(head, HostedModel("pool", "big"), gap, now)
     assert tracker.slow_heads(1.0) == ["d"]
     tracker.reset("d")
     assert tracker.slow_heads(1.0) == [] and tracker.slow_heads(9.0) == []
@@ -110,8 +111,8 @@
 def test_no_head_is_slow_with_too_few_heads_of_its_model():
     tracker = EventGapTracker()
     for _ in range(20):
-        tracker.record_gap("a", "big", 0.9, 1.0)
-        tracker.record_gap("b", "small", 0.05, 1.0)
+        tracker.record_gap("a", HostedModel("pool", "big"), 0.9, 1.0)
+        tracker.record_gap("b", HostedModel("pool", "small"), 0.05, 1.0)
     assert tracker.slow_heads(1.0) == []
 
 
--- a/tests/gateway/test_cold_servers.py
+++ b/tests/gateway/test_cold_servers.py
@@ -76,7 +76,15 @@
         """Put a plan into force with one group for each head; take the offsets as waited for."""
         names = (*cold, *warm)
         groups = tuple(
-            GroupTarget(f"g-{head}", 1, "big", head, Address("10.8.0.1", 80 + n), cold=head in cold)
+            GroupTarget(
+                f"g-{head}",
+                1,
+                "big",
+                head,
+                Address("10.8.0.1", 80 + n),
+                cold=head in cold,
+                service="pool",
+            )
             for n, head in enumerate(names)
         )
         plan = Plan(1, self.state.plan.sequence + 1, False, RoutingTargets(groups, ()))
@@ -117,7 +125,7 @@
 def test_first_request_after_the_discovery_is_paced_like_any_other(cold_gateway):
     """Guards against 140 nodes that send at the moment at which they learn of the server."""
     gateway = cold_gateway
-    groups = (GroupTarget("g", 1, "big", MINE, Address("10.8.0.1", 80), cold=True),)
+    groups = (GroupTarget("g", 1, "big", MINE, Address("10.8.0.1", 80), cold=True, service="pool"),)
     gateway.state.accept_plan(Plan(1, 9, False, RoutingTargets(groups, ())), gateway.clock.now())
     gateway.send_stream_request()
     rank = choose_senders(MINE, [OWN, *OTHERS], 30).index(OWN)
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -413,7 +413,8 @@
 
 
 def group_target(name, data_centre):
-    return GroupTarget(f"g-{name}", 1, "big", name, Address("10.8.0.1", 80), data_centre)
+    address = Address("10.8.0.1", 80)
+    return GroupTarget(f"g-{name}", 1, "big", name, address, data_centre, service="pool")
 
 
 def server_target(name, data_centre):
@@ -441,7 +442,8 @@
     gateway = Gateway(tmp_path)
     addresses = {each: Address(f"10.8.0.{n}", 80) for n, each in enumerate(PLACES)}
     groups = tuple(
-        GroupTarget(f"g-{each}", 1, "big", f"h-{each}", addresses[each], each) for each in PLACES
+        GroupTarget(f"g-{each}", 1, "big", f"h-{each}", addresses[each], each, service="pool")
+        for each in PLACES
     )
     servers = tuple(
         PlainServerTarget(f"p-{each}", "desk", addresses[each], each, 6) for each in PLACES
--- a/tests/gateway/test_heavy_load.py
+++ b/tests/gateway/test_heavy_load.py
@@ -53,7 +53,9 @@
     state, now = gateway.state, gateway.clock.now()
     near, far = state.settings.data_centre, "elsewhere"
     groups = tuple(
-        GroupTarget(f"g{n}", 1, "big", f"h{n}", Address("10.8.0.1", 80 + n), data_centre)
+        GroupTarget(
+            f"g{n}", 1, "big", f"h{n}", Address("10.8.0.1", 80 + n), data_centre, service="pool"
+        )
         for n, data_centre in enumerate((near, near, far))
     )
     state.node_count = 195
--- a/tests/gateway/test_pressure.py
+++ b/tests/gateway/test_pressure.py
@@ -5,7 +5,7 @@
 
 from briarpond.gateway._pressure import measure_pressure
 from briarpond.platform import decode_configuration
-from briarpond.routes import RouteTable
+from briarpond.routes import HostedModel, RouteTable
 
 from ..platform_samples import CONFIG, config_bytes
 from .world import STAMP_HEADER, Gateway
@@ -42,7 +42,7 @@
     """Return a node that admits three tenths of the requests, since its groups are nearly full."""
     gateway = gateway_with(tmp_path)
     fill(gateway, SLOTS - 1)
-    gateway.state.admitted_shares["big"].share = 0.3
+    gateway.state.admitted_shares[HostedModel("pool", "big")].share = 0.3
     return gateway
 
 
@@ -127,12 +127,12 @@
     assert "reserved" in {line["reason"] for line in lines}
     text = full.state.metrics.render(None)[0].decode()
     assert 'overload_refusals_total{priority="1",reason="reserved"}' in text
-    assert 'briarpond_gateway_occupancy{model="big"}' in text
+    assert 'briarpond_gateway_occupancy{model="big",service="pool"}' in text
 
 
 def test_retried_request_is_not_refused_for_pressure(full):
     """Guards against the loss of a request that a server has turned away."""
     reply = full.send_request("/now/x", **MODEL)
-    full.state.admitted_shares["big"].share = 0.02
+    full.state.admitted_shares[HostedModel("pool", "big")].share = 0.02
     full.client.sent[-1].answer_whole(503, b"", STAMP_HEADER, ("x-briarpond-not-executed", "1"))
     assert reply.status is None and len(full.client.sent) == 2
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -11,6 +11,7 @@
 from briarpond.dispatch import GroupPreferences, RequestSize, expected_first_event_s
 from briarpond.gateway._targets import best_group
 from briarpond.net import Address
+from briarpond.routes import HostedModel
 
 from .world import STAMP_HEADER, Gateway
 
@@ -108,6 +109,7 @@
 
 
 MODEL_SLOTS = 9
+POOL_BIG = HostedModel("pool", "big")
 
 
 def learn_answers(state, events=30, answers=20):
@@ -127,7 +129,7 @@
 def choose(state, forecast=None, prompt_tokens=979):
     """Return the head that a request is sent to."""
     size = RequestSize(prompt_tokens, 154)
-    choice = best_group(state, state.engine("pool"), "big", size, (), state.clock.now(), forecast)
+    choice = best_group(state, POOL_BIG, size, (), state.clock.now(), forecast)
     return choice.instance
 
 
@@ -167,7 +169,7 @@
     forecast = forecast_of(state, 150.0)
     for tick in range(20):
         for head, gap_s in (("h1", 0.08), ("h2", 0.04), ("h3", 0.04)):
-            state.step_paces.record_gap(head, "big", gap_s, 0.008, 98.0 + tick * 0.1)
+            state.step_paces.record_gap(head, POOL_BIG, gap_s, 0.008, 98.0 + tick * 0.1)
     sent = Counter()
     for _ in range(12):
         head = choose(state, forecast)
