--- a/briarpond/directory/_codec_evidence.py
+++ b/briarpond/directory/_codec_evidence.py
@@ -2,7 +2,6 @@
 
 from briarpond.ids import InstanceId, PromptPart
 from briarpond.quarantine import (
-    MAX_PARTS_PER_CRASH,
     MAX_REQUESTS_PER_CRASH,
     CrashKey,
     CrashReport,
@@ -53,7 +52,7 @@
 
 def _crash_from_wire(wire: ttypes.CrashRow) -> CrashReport:
     requests = tuple(
-        tuple(PromptPart(part) for part in row.parts[:MAX_PARTS_PER_CRASH])
+        tuple(PromptPart(part) for part in row.parts)
         for row in wire.requests[:MAX_REQUESTS_PER_CRASH]
     )
     key = CrashKey(InstanceId(wire.server), wire.epoch)
--- a/briarpond/gateway/_caller_request.py
+++ b/briarpond/gateway/_caller_request.py
@@ -88,7 +88,7 @@
         ModelName(http.header(PlatformHeader.MODEL) or ""),
         RequestSize(prompt_tokens, max_answer_tokens if hint is None else hint),
         max_answer_tokens,
-        parse_prompt_parts(http.header(PlatformHeader.PROMPT_PARTS)),
+        parse_prompt_parts(http.joined_header(PlatformHeader.PROMPT_PARTS)),
         hint,
     )
 
--- a/briarpond/gateway/_quarantine_api.py
+++ b/briarpond/gateway/_quarantine_api.py
@@ -4,6 +4,7 @@
 
 from briarpond.ids import PromptPart
 from briarpond.net import HttpReply, HttpRequest
+from briarpond.platform import parse_prompt_part
 from briarpond.quarantine import Quarantine, quarantine_s
 
 QUARANTINE_PATH = "/quarantine"
@@ -50,12 +51,17 @@
     path, _, part = request.target.removeprefix(QUARANTINE_PATH).partition("/")
     if path == "" and request.method == "GET" and not part:
         reply.send_whole(200, _JSON, msgspec.json.encode({"parts": _listed_parts(quarantine, now)}))
-    elif path == "" and request.method == "DELETE" and quarantine.lift(PromptPart(part), now):
+    elif path == "" and request.method == "DELETE" and _lift(quarantine, part, now):
         reply.send_whole(200, _JSON, msgspec.json.encode({"lifted": part}))
     else:
         reply.send_whole(404, _JSON, msgspec.json.encode({"error": "There is no such part."}))
 
 
+def _lift(quarantine: Quarantine, name: str, now: float) -> bool:
+    """Lift the quarantine of a part, named by the id that callers send or as it is listed."""
+    return any(quarantine.lift(part, now) for part in (parse_prompt_part(name), PromptPart(name)))
+
+
 def _listed_parts(quarantine: Quarantine, now: float) -> list[ListedPart]:
     return [
         ListedPart(
--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -25,6 +25,8 @@
 CONNECT_TIMEOUT_S = 0.4
 # How long a server counts as full after it refused a request or reported a long queue.
 FULL_DURATION_S = 0.15
+# Parts of a prompt that a line of the log names.
+MAX_LOGGED_PARTS = 16
 
 
 class SendCallbacks(msgspec.Struct, frozen=True):
@@ -198,7 +200,8 @@
             ms=int((now - progress.began_at) * 1000),
             streaming_ms=-1 if streaming_s is None else int(streaming_s * 1000),
             server_in_flight=self._state.load_tracker.own_in_flight(self.server),
-            parts="+".join(self._caller.prompt_parts) or "-",
+            parts="+".join(self._caller.prompt_parts[:MAX_LOGGED_PARTS]) or "-",
+            part_count=len(self._caller.prompt_parts),
         )
 
     def record_crash(self, now: float) -> None:
--- a/briarpond/net/_http_request.py
+++ b/briarpond/net/_http_request.py
@@ -32,6 +32,10 @@
         """Return the first value of the header `name` (in lower case), or None."""
         return find_header(self.headers, name)
 
+    def joined_header(self, name: str) -> str:
+        """Return all values of the header `name`, which is a list, as one (RFC 9110, 5.3)."""
+        return ",".join(value for each, value in self.headers if each == name)
+
 
 class HttpServerLimits(msgspec.Struct):
     """Limits on requests and connections of callers.
--- a/briarpond/platform/_headers.py
+++ b/briarpond/platform/_headers.py
@@ -1,5 +1,7 @@
 """Names and values of the platform's HTTP headers."""
 
+from hashlib import blake2b
+
 import msgspec
 
 from briarpond.ids import PromptPart
@@ -81,15 +83,16 @@
 )
 
 _BEARER_PREFIX = "bearer "
-# Parts of a prompt that are read; a longer list is cut off.
-MAX_PROMPT_PARTS = 64
 # Larger counts of requests or tokens are read as this.
 MAX_COUNT = 10_000_000
 # Greatest value of the header with the priority.
 LAST_PRIORITY = 9
-# Longest name of a part that is read.
-MAX_PART_NAME = 32
-_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+# Bytes of the digest that stands for a long id of a part. Two ids with the same digest would be
+# one part, whose quarantine refused sound requests, also if somebody looked for such a pair.
+PART_DIGEST_BYTES = 16
+# Shorter ids are kept as they are, so that operators recognise them; no digest equals one.
+_MAX_PLAIN_DIGITS = 2 * PART_DIGEST_BYTES - 1
+_HEX_DIGITS = frozenset("0123456789abcdef")
 
 
 class ServerLoad(msgspec.Struct, frozen=True):
@@ -152,16 +155,27 @@
 def parse_prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
     """Parse a header value of comma-separated entries ``id:tokens``, ids in hexadecimal.
 
-    Returns the different ids in order, from the first `MAX_PROMPT_PARTS` entries; those that
-    cannot be read are left out.
+    Returns the different parts in order; entries without an id are left out. Every other part
+    is there, however long its id and the list are: any of them may end servers. The size of a
+    request's headers bounds the list.
     """
     if not value:
         return ()
-    # One piece more than is read, so that no time is spent on the rest of a long list.
-    entries = value.split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]
-    names = [entry.split(":", 1)[0].strip().lower() for entry in entries]
-    return tuple(PromptPart(name) for name in dict.fromkeys(names) if _is_part_name(name))
+    parts = [parse_prompt_part(entry.partition(":")[0]) for entry in value.split(",")]
+    return tuple(dict.fromkeys(part for part in parts if part))
+
 
+def parse_prompt_part(text: str) -> PromptPart:
+    """Return the part that an id names; empty for an empty id.
 
-def _is_part_name(name: str) -> bool:
-    return 0 < len(name) <= MAX_PART_NAME and _HEX_DIGITS.issuperset(name)
+    An id is a number in hexadecimal: capitals and leading zeros make no difference. A long one,
+    or one that is no number, is replaced by a digest of `PART_DIGEST_BYTES`.
+    """
+    name = text.strip().lower()
+    if not name:
+        return PromptPart("")
+    if _HEX_DIGITS.issuperset(name):
+        name = name.lstrip("0") or "0"
+        if len(name) <= _MAX_PLAIN_DIGITS:
+            return PromptPart(name)
+    return PromptPart(blake2b(name.encode(), digest_size=PART_DIGEST_BYTES).hexdigest())
--- a/briarpond/quarantine/__init__.py
+++ b/briarpond/quarantine/__init__.py
@@ -4,7 +4,7 @@
 a part that is to blame are refused until a single trial shows that the part is harmless.
 """
 
-from ._crashes import MAX_PARTS_PER_CRASH, MAX_REQUESTS_PER_CRASH
+from ._crashes import MAX_REQUESTS_PER_CRASH
 from ._entries import LEVEL_IF_NEVER_SURVIVED, quarantine_s, trial_node
 from ._models import CrashKey, CrashReport, Evidence, QuarantineStatus, Survival
 from ._quarantine import (
@@ -18,7 +18,6 @@
 
 __all__ = [
     "LEVEL_IF_NEVER_SURVIVED",
-    "MAX_PARTS_PER_CRASH",
     "MAX_REQUESTS_PER_CRASH",
     "Block",
     "Case",
--- a/briarpond/quarantine/_crashes.py
+++ b/briarpond/quarantine/_crashes.py
@@ -7,20 +7,38 @@
 
 from briarpond.ids import PromptPart
 
-from ._models import CrashKey, CrashReport
+from ._models import CrashKey
 
 # How long a crash is remembered.
 CRASH_LIFETIME_S = 60.0
-# Limits of the memory that crashes take, whatever callers send.
+# Limits of the memory that crashes take, whatever callers send. Each part of a remembered request
+# is remembered, since any of them may be to blame; it is the oldest crashes that are forgotten.
 MAX_CRASHES = 256
 MAX_REQUESTS_PER_CRASH = 32
-MAX_PARTS_PER_CRASH = 256
+MAX_MENTIONS = 65_536
+# Crashes that are kept however many parts their requests have: enough for a verdict.
+MIN_CRASHES_KEPT = 4
 # Crashes within this time tell how likely a server is to end by chance.
 RATE_WINDOW_S = 10.0
 
 Request = tuple[PromptPart, ...]
 
 
+class Mention(msgspec.Struct, frozen=True):
+    """A request with a part that was on a server that ended.
+
+    Attributes
+    ----------
+    request : tuple of PromptPart
+        All parts of the request, in order.
+    position : int
+        Position of the part among them.
+    """
+
+    request: Request
+    position: int
+
+
 class Crash(msgspec.Struct, eq=False):
     """One end of a server.
 
@@ -30,23 +48,29 @@
         Which end of which server.
     at : float
         Earliest time at which a node noticed it.
-    requests : set of tuple of PromptPart
-        Parts of the requests that may have caused it.
-    parts : set of PromptPart
-        All parts of these requests.
     changed_at : float
         Time at which this node last learnt something new about it.
+    told : dict
+        Parts of the requests that may have caused it, and how often each request was told.
+    mentions : dict
+        These requests by each of their parts.
     """
 
     key: CrashKey
     at: float
-    requests: set[Request]
-    parts: set[PromptPart]
     changed_at: float
+    told: dict[Request, int] = msgspec.field(default_factory=dict)
+    mentions: dict[PromptPart, list[Mention]] = msgspec.field(default_factory=dict)
+
+    @property
+    def parts(self) -> Set[PromptPart]:
+        """All parts of the requests that may have caused it."""
+        return self.mentions.keys()
 
-    def report(self, now: float) -> CrashReport:
-        """Return what other nodes are told."""
-        return CrashReport(self.key, max(0.0, now - self.at), tuple(sorted(self.requests)))
+    @property
+    def requests(self) -> Set[Request]:
+        """Parts of the requests that may have caused it."""
+        return self.told.keys()
 
 
 class CrashLog:
@@ -55,6 +79,7 @@
     def __init__(self) -> None:
         self._crashes: OrderedDict[CrashKey, Crash] = OrderedDict()
         self._by_part: dict[PromptPart, list[Crash]] = {}
+        self._mention_count = 0
 
     def add(
         self, key: CrashKey, at: float, requests: Iterable[Request], now: float
@@ -65,12 +90,12 @@
             return set()
         crash = self._crashes.get(key)
         if crash is None:
-            crash = self._crashes[key] = Crash(key, at, set(), set(), now)
+            crash = self._crashes[key] = Crash(key, at, now)
         crash.at = min(crash.at, at)
         new_parts: set[PromptPart] = set()
         for request in requests:
             new_parts |= self._add_request(crash, request, now)
-        while len(self._crashes) > MAX_CRASHES:
+        while self._is_too_large():
             self._drop_oldest()
         return new_parts
 
@@ -106,19 +131,23 @@
         return len(self._by_part.get(part, ()))
 
     def _add_request(self, crash: Crash, request: Request, now: float) -> set[PromptPart]:
-        has_room = (
-            len(crash.requests) < MAX_REQUESTS_PER_CRASH
-            and len(crash.parts) + len(request) <= MAX_PARTS_PER_CRASH
-        )
+        has_room = len(crash.requests) < MAX_REQUESTS_PER_CRASH
         if request in crash.requests or not request or not has_room:
             return set()
-        crash.requests.add(request)
+        crash.told[request] = 0
         crash.changed_at = now
-        for part in set(request) - crash.parts:
-            self._by_part.setdefault(part, []).append(crash)
-        crash.parts.update(request)
+        for position, part in enumerate(request):
+            if part not in crash.mentions:
+                self._by_part.setdefault(part, []).append(crash)
+            crash.mentions.setdefault(part, []).append(Mention(request, position))
+        self._mention_count += len(request)
         return set(request)
 
+    def _is_too_large(self) -> bool:
+        if len(self._crashes) > MAX_CRASHES:
+            return True
+        return self._mention_count > MAX_MENTIONS and len(self._crashes) > MIN_CRASHES_KEPT
+
     def _discard_expired(self, now: float) -> None:
         while self._crashes:
             oldest = next(iter(self._crashes.values()))
@@ -128,6 +157,7 @@
 
     def _drop_oldest(self) -> None:
         _, crash = self._crashes.popitem(last=False)
+        self._mention_count -= sum(len(request) for request in crash.requests)
         for part in crash.parts:
             left = [each for each in self._by_part[part] if each is not crash]
             if left:
--- a/briarpond/quarantine/_quarantine.py
+++ b/briarpond/quarantine/_quarantine.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping, Set
 from enum import Enum
 
 import msgspec
@@ -14,7 +14,8 @@
 
 from ._crashes import Crash, CrashLog, Request
 from ._entries import LEVEL_IF_NEVER_SURVIVED, LEVEL_IF_SURVIVED_BEFORE, Entry
-from ._models import CrashKey, Evidence, QuarantineStatus, Survival
+from ._models import CrashKey, CrashReport, Evidence, QuarantineStatus, Survival
+from ._reports import report_crashes
 from ._survivals import SurvivalLog
 from ._verdict import MIN_CRASHES, Case, count_causes
 
@@ -127,6 +128,21 @@
     is_first_hand: bool
 
 
+class _Explained(msgspec.Struct, frozen=True):
+    """What the parts in quarantine account for.
+
+    Attributes
+    ----------
+    counts : mapping
+        Number of crashes with each of these parts; those without one are left out.
+    crashes : set of CrashKey
+        All these crashes.
+    """
+
+    counts: Mapping[PromptPart, int]
+    crashes: Set[CrashKey]
+
+
 class Quarantine:
     """Evidence and verdicts of one node.
 
@@ -153,8 +169,8 @@
         """Record that a server ended, with the requests that it had hardly begun to answer."""
         requests = tuple(requests)
         self._add_crash(key, now, requests, now, is_first_hand=True)
-        parts = {part for request in requests for part in request}
-        if any(part not in self._entries and self._is_suspicious(part, now) for part in parts):
+        parts = {part for request in requests for part in request} - self._entries.keys()
+        if self._any_suspicious(parts, now):
             self._callbacks.on_suspected()
 
     def record_survival(self, parts: Iterable[PromptPart], began_at: float, now: float) -> None:
@@ -176,7 +192,7 @@
         """Return what other nodes should be told now; None if there is nothing."""
         self._forget(now)
         evidence = Evidence(
-            tuple(crash.report(now) for crash in self._crashes_to_tell(now)),
+            tuple(self._crashes_to_tell(now)),
             tuple(self._survivals_to_tell(now)),
             tuple(self._newest_first(now)[:MAX_QUARANTINES_TOLD]),
         )
@@ -218,7 +234,8 @@
 
         A request with such a part is not repeated after its server has ended.
         """
-        return any(part in self._entries or self._is_suspicious(part, now) for part in parts)
+        parts = tuple(parts)
+        return any(part in self._entries for part in parts) or self._any_suspicious(parts, now)
 
     # Operators
 
@@ -273,7 +290,8 @@
             if part not in self._entries and self._crashes.count_of(part) >= MIN_CRASHES
         }
         while suspects:
-            cases = {part: self._case(part, now) for part in suspects}
+            explained = self._explained()
+            cases = {part: self._case(part, explained, now) for part in suspects}
             blamed = [part for part, case in cases.items() if case.to_blame]
             if not blamed:
                 return
@@ -281,13 +299,15 @@
             suspects.discard(part)
             self._condemn(part, cases[part], now, is_first_hand)
 
-    def _is_suspicious(self, part: PromptPart, now: float) -> bool:
-        if self._crashes.count_of(part) < MIN_CRASHES:
+    def _any_suspicious(self, parts: Iterable[PromptPart], now: float) -> bool:
+        suspects = [part for part in parts if self._crashes.count_of(part) >= MIN_CRASHES]
+        if not suspects:
             return False
-        return self._case(part, now).is_suspicious
+        explained = self._explained()
+        return any(self._case(part, explained, now).is_suspicious for part in suspects)
 
     def _condemn(self, part: PromptPart, case: Case, now: float, is_first_hand: bool) -> None:
-        crashes = self._unexplained_crashes(part, now)
+        crashes = self._unexplained_crashes(part, self._explained(), now)
         is_new = case.survived_before_s is None
         level = LEVEL_IF_NEVER_SURVIVED if is_new else LEVEL_IF_SURVIVED_BEFORE
         self._add_entry(Entry(part, max(crash.at for crash in crashes), level))
@@ -295,40 +315,46 @@
         self._callbacks.on_quarantined(condemnation, is_first_hand)
         self._release_explained(now)
 
-    def _case(self, part: PromptPart, now: float) -> Case:
-        crashes = self._unexplained_crashes(part, now)
-        requests = {each for crash in crashes for each in crash.requests if part in each}
+    def _case(self, part: PromptPart, explained: _Explained, now: float) -> Case:
+        """Return what speaks for and against a part."""
+        crashes = self._unexplained_crashes(part, explained, now)
+        mentions = [each for crash in crashes for each in crash.mentions[part]]
         survived_at = self._survivals.last(part, now)
         last_crash_at = max((crash.at for crash in crashes), default=now)
         return Case(
             crashes=count_causes(crash.at for crash in crashes),
-            requests=len({request[-1] for request in requests}),
-            is_own=all(request[-1] == part for request in requests),
-            depth=sum(request.index(part) for request in requests) / max(1, len(requests)),
+            requests=len({each.request[-1] for each in mentions}),
+            is_own=all(each.request[-1] == part for each in mentions),
+            depth=sum(each.position for each in mentions) / max(1, len(mentions)),
             survived_before_s=(
                 None if survived_at == float("-inf") else last_crash_at - survived_at
             ),
-            other_crashes=self._crashes.count_others(part, self._explained_keys(), now),
+            other_crashes=self._crashes.count_others(part, explained.crashes, now),
             groups=self._callbacks.count_groups(now),
         )
 
-    def _unexplained_crashes(self, part: PromptPart, now: float) -> list[Crash]:
+    def _unexplained_crashes(
+        self, part: PromptPart, explained: _Explained, now: float
+    ) -> list[Crash]:
         """Return the crashes since `part` was survived that no part in quarantine explains."""
         crashes = self._crashes.crashes_of(part, self._survivals.last(part, now))
+        own_count = self._crashes.count_of(part)
         rivals = [
-            entry.part
-            for entry in self._entries.values()
-            if entry.part != part
-            and self._crashes.count_of(entry.part) >= self._crashes.count_of(part)
+            rival
+            for rival, count in explained.counts.items()
+            if rival != part and count >= own_count
         ]
         return [crash for crash in crashes if crash.parts.isdisjoint(rivals)]
 
-    def _explained_keys(self) -> set[CrashKey]:
-        return {
+    def _explained(self) -> _Explained:
+        """Return what the parts in quarantine account for."""
+        counts = {part: self._crashes.count_of(part) for part in self._entries}
+        keys = {
             crash.key
             for part in self._entries
             for crash in self._crashes.crashes_of(part, float("-inf"))
         }
+        return _Explained({part: count for part, count in counts.items() if count}, keys)
 
     def _release_explained(self, now: float) -> None:
         """Release the parts all of whose crashes another one in quarantine accounts for."""
@@ -338,7 +364,9 @@
 
     def _is_explained(self, part: PromptPart, now: float) -> bool:
         """Whether other parts in quarantine account for all crashes with `part`."""
-        return self._crashes.mentions(part) and not self._unexplained_crashes(part, now)
+        if not self._crashes.mentions(part):
+            return False
+        return not self._unexplained_crashes(part, self._explained(), now)
 
     # Survivals
 
@@ -388,14 +416,18 @@
 
     # What is told
 
-    def _crashes_to_tell(self, now: float) -> list[Crash]:
+    def _crashes_to_tell(self, now: float) -> list[CrashReport]:
         """Return crashes that are new here; first those with a part of another crash."""
         changed = self._crashes.changed_since(now - TELL_S)
-        changed.sort(key=lambda crash: (-self._most_crashes(crash), -crash.changed_at))
-        return changed[:MAX_CRASHES_TOLD]
+        counts = {part: self._count_since_survival(part, now) for part in _parts_of(changed)}
+
+        def rank(crash: Crash) -> tuple[int, float]:
+            return -max(counts[part] for part in crash.parts), -crash.changed_at
 
-    def _most_crashes(self, crash: Crash) -> int:
-        return max((self._crashes.count_of(part) for part in crash.parts), default=0)
+        return report_crashes(sorted(changed, key=rank)[:MAX_CRASHES_TOLD], counts, now)
+
+    def _count_since_survival(self, part: PromptPart, now: float) -> int:
+        return len(self._crashes.crashes_of(part, self._survivals.last(part, now)))
 
     def _survivals_to_tell(self, now: float) -> list[Survival]:
         for part, told_at in list(self._survivals_told.items()):
@@ -410,6 +442,10 @@
             del self._entries[part]
 
 
+def _parts_of(crashes: Iterable[Crash]) -> set[PromptPart]:
+    return {part for crash in crashes for part in crash.parts}
+
+
 def _is_later(offered: Entry, known: Entry) -> bool:
     """Whether an entry is from a later failed trial, and not the same one, delayed."""
     return offered.level > known.level and offered.since > known.since + SAME_EVENT_S
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -1,7 +1,10 @@
 """Requests with a prompt part that ends each server that begins to write an answer on it."""
 
+import pytest
+
+from briarpond.gateway._caller_request import read_caller_request
 from briarpond.gateway._send_state import BLAMABLE_STREAMING_S, SendState
-from briarpond.net import LossReason
+from briarpond.net import HttpRequest, LossReason
 
 from .crashing_servers import EVENTS, Callers, SimulatedServers
 from .world import STAMP_HEADER, Gateway, VirtualClock
@@ -84,6 +87,45 @@
     assert "f1" not in deployment.quarantined()
 
 
+OTHERS = tuple(f"{0xC0000 + number:x}" for number in range(70))
+
+
+# Guards against a part that no node sees: its id was too long, or too many came before it.
+@pytest.mark.parametrize(
+    "parts",
+    [("d" * 64,), ("0" * 8 + "d" * 64,), (*OTHERS, "bad1"), (*OTHERS, "d" * 200, *OTHERS)],
+    ids=["long", "leading_zeros", "late", "long_and_late"],
+)
+@pytest.mark.parametrize("nodes", [1, 5])
+def test_part_with_any_id_at_any_place_is_stopped(tmp_path, parts, nodes):
+    deployment = Deployment(tmp_path, nodes)
+    deployment.servers.deadly_parts.add(max(parts, key=len) if "bad1" not in parts else "bad1")
+    deployment.callers.send_every(0.1, "sound", "f1", *OTHERS)
+    deployment.clock.advance(1.0)
+    deployment.callers.send_every(1.0, "deadly", "f1", *parts)
+    deployment.clock.advance(30.0)
+    assert deployment.sends_after_stop() <= MAX_SENDS_AFTER_STOP
+    assert deployment.callers.share_answered("sound", deployment.clock.now() - 24.0) > 0.9
+    assert "f1" not in deployment.quarantined()
+
+
+# Guards against the same part in two spellings, of which each ends its own servers.
+def test_part_in_two_spellings_is_stopped(tmp_path):
+    deployment = Deployment(tmp_path, 2)
+    deployment.servers.deadly_parts |= {"bad1", "BAD1"}
+    deployment.callers.send_every(2.0, "deadly", "f1", "000bad1")
+    deployment.callers.send_every(1.3, "deadly", "f1", "BAD1")
+    deployment.clock.advance(30.0)
+    assert deployment.sends_after_stop() <= MAX_SENDS_AFTER_STOP
+
+
+# Guards against a second line of the same header, which a server may read as well.
+def test_parts_in_two_headers_are_all_read():
+    pairs = [("x-briarpond-prompt-prefix", value) for value in ("a1:1", "bad1:1,a2:1")]
+    request = HttpRequest("POST", "/plan/x", tuple(pairs), b"", 0.0)
+    assert read_caller_request(request, 1.0).prompt_parts == ("a1", "bad1", "a2")
+
+
 def test_many_requests_with_two_such_parts_are_stopped(tmp_path):
     deployment = Deployment(tmp_path, 4)
     deployment.servers.deadly_parts |= {"bad1", "bad2"}
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import struct
+from hashlib import blake2b
 
 import pytest
 
@@ -28,7 +29,6 @@
     parse_server_load,
     parse_token_counts,
 )
-from briarpond.platform._headers import MAX_PROMPT_PARTS
 from briarpond.platform._settings import ColdBound
 from briarpond.routes import RouteKind
 
@@ -217,6 +217,11 @@
     assert problem.code == code and "\n" not in str(problem)
 
 
+def digest(name):
+    """Return what stands for a long id, in hexadecimal."""
+    return blake2b(name.encode(), digest_size=16).hexdigest()
+
+
 @pytest.mark.parametrize(
     ("value", "parts"),
     [
@@ -227,14 +232,25 @@
         ("", ()),
         (",", ()),
         ("5c1e07a2:800,", ("5c1e07a2",)),
-        ("zz:1,5c1e07a2:1", ("5c1e07a2",)),
-        ("a" * 33 + ":1", ()),
+        (":5,5c1e07a2:1", ("5c1e07a2",)),
+        ("00005C1E:1,5c1e:2,0:3,000:4", ("5c1e", "0")),
+        ("zz:1,5c1e07a2:1", (digest("zz"), "5c1e07a2")),
+        ("a" * 31 + ":1", ("a" * 31,)),
+        ("a" * 32 + ":1", (digest("a" * 32),)),
+        ("00" + "AB" * 5_000 + ":1", (digest("ab" * 5_000),)),
     ],
 )
-def test_prompt_parts_are_read_and_unreadable_ones_left_out(value, parts):
+def test_every_prompt_part_is_read_in_one_spelling(value, parts):
+    """Guards against BUDGET: parts with long ids were left out, whatever servers they ended."""
     assert parse_prompt_parts(value) == parts
 
 
-def test_list_of_prompt_parts_without_end_is_cut_off():
-    value = ",".join(f"{number:x}:1" for number in range(100_000))
-    assert len(parse_prompt_parts(value)) == MAX_PROMPT_PARTS
+def test_every_place_in_a_list_of_prompt_parts_is_read():
+    """Guards against BUDGET: parts behind 64 others were left out."""
+    value = ",".join(f"{number:x}:1" for number in range(5_000))
+    assert parse_prompt_parts(value) == tuple(f"{number:x}" for number in range(5_000))
+
+
+def test_long_ids_that_differ_anywhere_are_different_parts():
+    ids = ["d" * 64, "d" * 63 + "e", "e" + "d" * 63, "d" * 65, "d" * 32 + "e" * 32]
+    assert len(parse_prompt_parts(",".join(ids))) == len(ids)
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -15,7 +15,7 @@
     quarantine_s,
     trial_node,
 )
-from briarpond.quarantine._crashes import MAX_CRASHES, MAX_PARTS_PER_CRASH
+from briarpond.quarantine._crashes import MAX_CRASHES, MAX_MENTIONS
 from briarpond.quarantine._quarantine import COLLECT_S, MAX_ENTRIES, WARM_UP_S
 from briarpond.quarantine._survivals import MAX_SURVIVALS
 
@@ -314,7 +314,7 @@
         node.survive(*[f"p{number}-{n}" for n in range(20)], after_s=0.0)
     quarantine = node.quarantine
     assert len(quarantine._crashes._crashes) <= MAX_CRASHES
-    assert len(quarantine._crashes._by_part) <= MAX_CRASHES * MAX_PARTS_PER_CRASH
+    assert len(quarantine._crashes._by_part) <= MAX_MENTIONS
     assert len(quarantine._survivals._survived_at) <= MAX_SURVIVALS
     statuses = tuple(QuarantineStatus(f"x{n}", 3, 1.0) for n in range(2 * MAX_ENTRIES))
     quarantine.merge(Evidence(quarantines=statuses), node.now)
