--- a/briarpond/gateway/_answer_head.py
+++ b/briarpond/gateway/_answer_head.py
@@ -5,6 +5,8 @@
 from briarpond.net import Headers, media_type
 from briarpond.platform import HOP_BY_HOP_HEADERS, PlatformHeader
 
+# The least status of an answer that is a failure.
+FIRST_ERROR_STATUS = 400
 # Statuses with which a server may state that it has not executed a request.
 NOT_EXECUTED_STATUSES = frozenset({421, 429, 503})
 # Headers by which an answer states where it ends.
@@ -39,6 +41,11 @@
         """Whether the answer states where it ends, by a length or by chunks."""
         return not _FRAMING_HEADERS.isdisjoint(self.by_name)
 
+    @property
+    def is_error(self) -> bool:
+        """Whether the answer is a failure, and not what was asked for."""
+        return self.status >= FIRST_ERROR_STATUS
+
     @property
     def is_not_executed(self) -> bool:
         """Whether the server states that it has not run the request."""
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -27,9 +27,6 @@
 from ._state import NodeState
 from ._targets import ServerChoice
 
-# The least status of an answer that is a failure.
-FIRST_ERROR_STATUS = 400
-
 
 class ForwardedRequest:
     """Sends a request to a backend server, relays the answer and repeats failed sends.
@@ -274,7 +271,7 @@
 
     def _head_problem(self, head: AnswerHead) -> str | None:
         """Return why an answer with this head is of no use; None if it is of use."""
-        if head.status >= FIRST_ERROR_STATUS and len(self._sends.open) > 1:
+        if head.is_error and len(self._sends.open) > 1:
             # The server that also has the request may do better.
             return f"status_{head.status}"
         return self._reply.head_problem(head)
--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -214,8 +214,11 @@
         self._state.quarantine.record_crash(key, requests, now)
 
     def record_survival(self, now: float) -> None:
-        """Record that the server has answered this request whole."""
-        if not self._context.runs_in_group:
+        """Record that the server has written a whole answer to this request and goes on.
+
+        An error shows nothing: it may come before the server begins to write on the prompt.
+        """
+        if self.head is None or self.head.is_error or not self._context.runs_in_group:
             return
         progress = self.progress
         began_at = progress.began_at
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -119,6 +119,19 @@
     assert deployment.sends_after_stop() <= MAX_SENDS_AFTER_STOP
 
 
+# Guards against a server's own error that clears a part which goes on to end servers.
+@pytest.mark.parametrize("status", [500, 400, 429, 503])
+def test_error_of_a_server_does_not_show_that_a_part_is_harmless(tmp_path, status):
+    gateway = Gateway(tmp_path)
+    survivals = gateway.state.quarantine._survivals
+    gateway.send_stream_request(x_briarpond_prompt_prefix="f1:1,bad1:2,a1:3")
+    gateway.client.sent[-1].answer_whole(status, b"failed", STAMP_HEADER)
+    assert survivals.last("bad1", gateway.clock.now()) == float("-inf")
+    gateway.send_stream_request(x_briarpond_prompt_prefix="f1:1,c1:3")
+    gateway.client.sent[-1].answer_whole(200, b"id: 0\ndata: x\n\n", STAMP_HEADER)
+    assert survivals.last("f1", gateway.clock.now()) > 0
+
+
 # Guards against a second line of the same header, which a server may read as well.
 def test_parts_in_two_headers_are_all_read():
     pairs = [("x-briarpond-prompt-prefix", value) for value in ("a1:1", "bad1:1,a2:1")]
