--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -330,6 +330,7 @@
                 target.data_centre,
                 target.cold or None,
                 target.service or None,
+                target.size or None,
             )
             for target in delta.groups
         ],
@@ -369,6 +370,7 @@
         DataCentre(wire.data_centre or ""),
         bool(wire.cold),
         ServiceName(wire.service_name or ""),
+        wire.size or 0,
     )
 
 
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -87,6 +87,9 @@
     service : ServiceName
         Service that the members belong to; empty if the planner does not tell it. Requests for
         another service must not be sent to the group, whatever model it serves.
+    size : int
+        Number of members; 0 if the planner does not tell it. Nothing is sent to a group of another
+        size than the configuration in force gives its model.
     """
 
     group: GroupId
@@ -97,6 +100,7 @@
     data_centre: DataCentre = DataCentre("")
     cold: bool = False
     service: ServiceName = ServiceName("")
+    size: int = 0
 
 
 class PlainServerTarget(msgspec.Struct, frozen=True):
--- a/briarpond/directory/exchange.thrift
+++ b/briarpond/directory/exchange.thrift
@@ -36,7 +36,8 @@
   6: required i32 port,
   7: optional string data_centre,
   8: optional bool cold,
-  9: optional string service_name
+  9: optional string service_name,
+  10: optional i32 size
 }
 
 /** A plain server that takes requests. */
--- a/briarpond/directory/gen/exchange/ttypes.py
+++ b/briarpond/directory/gen/exchange/ttypes.py
@@ -304,11 +304,12 @@
      - data_centre
      - cold
      - service_name
+     - size
 
     """
 
 
-    def __init__(self, group=None, epoch=None, model=None, head=None, host=None, port=None, data_centre=None, cold=None, service_name=None,):
+    def __init__(self, group=None, epoch=None, model=None, head=None, host=None, port=None, data_centre=None, cold=None, service_name=None, size=None,):
         self.group = group
         self.epoch = epoch
         self.model = model
@@ -318,6 +319,7 @@
         self.data_centre = data_centre
         self.cold = cold
         self.service_name = service_name
+        self.size = size
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -373,6 +375,11 @@
                     self.service_name = iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.size = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -419,6 +426,10 @@
             oprot.writeFieldBegin('service_name', TType.STRING, 9)
             oprot.writeString(self.service_name)
             oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.I32, 10)
+            oprot.writeI32(self.size)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2352,6 +2363,7 @@
     (7, TType.STRING, 'data_centre', None, None, ),  # 7
     (8, TType.BOOL, 'cold', None, None, ),  # 8
     (9, TType.STRING, 'service_name', None, None, ),  # 9
+    (10, TType.I32, 'size', None, None, ),  # 10
 )
 all_structs.append(PlainRow)
 PlainRow.thrift_spec = (
--- a/briarpond/fleet/_groups.py
+++ b/briarpond/fleet/_groups.py
@@ -29,6 +29,9 @@
         State of the head, which is that of the group.
     members : tuple of InstanceId
         Listed members by rank, head first. Members that are not listed are missing.
+    size : int
+        Number of members as far as they are listed; 0 if one in between is missing, since then it
+        is not known.
     """
 
     id: GroupId
@@ -39,6 +42,7 @@
     head_address: Address
     state: MemberState
     members: tuple[InstanceId, ...]
+    size: int
 
 
 def assemble_groups(instances: Iterable[Instance]) -> list[ListedGroup]:
@@ -69,6 +73,13 @@
                 head.address,
                 head.membership.state,
                 ids,
+                _known_size(listed_members),
             )
         )
     return groups
+
+
+def _known_size(listed_members: list[Instance]) -> int:
+    """Return the number of members by rank; 0 if a rank is missing or stands twice."""
+    ranks = [member.membership.rank for member in listed_members if member.membership]
+    return len(ranks) if ranks == list(range(len(ranks))) else 0
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -19,7 +19,7 @@
     encode_leave,
     encode_open,
 )
-from briarpond.routes import ModelName, ServiceSpec
+from briarpond.routes import GatewayConfiguration, ModelName, ServiceSpec
 
 from ._evacuation import without_evacuated
 from ._lease import PlannerLease
@@ -124,11 +124,27 @@
                 self._publish_listed_groups(now)
             return
         demand = self._peers.sync.demand(now)
-        for spec in config.services.values():
-            if spec.engine is not None and spec.engine.models:
-                self._step_service(spec, demand, now)
+        for spec in self._services_to_plan(config):
+            self._step_service(spec, demand, now)
         self._publish(now)
 
+    def _services_to_plan(self, config: GatewayConfiguration) -> list[ServiceSpec]:
+        """Return the services with models, and those without any whose groups are to be closed."""
+        specs = {
+            name: spec
+            for name, spec in config.services.items()
+            if spec.engine is not None and spec.engine.models
+        }
+        for service, planner in list(self._planners.items()):
+            if service in specs:
+                continue
+            if planner.groups:
+                specs[service] = ServiceSpec(service, "", 0, planner.engine_without_models)
+            else:
+                del self._planners[service]
+                self._stages.pop(service, None)
+        return list(specs.values())
+
     def _is_paused(self, now: float) -> bool:
         """Whether planning can go on if the lease is renewed without a change of its term.
 
@@ -235,6 +251,9 @@
         """Plan for one service: update its planner, probe instances, send orders."""
         planner = self._planners.get(spec.name) or self._start_planner(spec, now)
         state = self._state
+        bounds = state.settings.bounds
+        assert spec.engine is not None
+        planner.configure(spec.engine, bounds.stall_s, bounds.weight_load_window_s)
         planner.set_evacuated(state.evacuated)
         planner.update_instances(
             [
@@ -339,6 +358,7 @@
             head.data_centre,
             self._state.is_cold(group.head, now),
             service,
+            len(group.members),
         )
 
     def _send_order(self, planner: Planner, order: Order) -> None:
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -74,21 +74,28 @@
 
 
 def complete_target(
-    target: GroupTarget, listed: Mapping[tuple[GroupId, int, InstanceId], ServiceName]
+    target: GroupTarget, listed: Mapping[tuple[GroupId, int, InstanceId], ListedGroup]
 ) -> GroupTarget:
-    """Return a group of a plan with its service, if the plan or the list tells it.
+    """Return a group of a plan with its service and size, if the plan or the list tells them.
 
     Parameters
     ----------
     target : GroupTarget
         The group as the planner tells it.
     listed : mapping
-        Service of each listed group, by name, epoch and head.
+        Listed groups by name, epoch and head.
     """
-    if target.service:
+    group = listed.get((target.group, target.epoch, target.head))
+    if group is None or is_complete(target):
         return target
-    service = listed.get((target.group, target.epoch, target.head), target.service)
-    return msgspec.structs.replace(target, service=service)
+    return msgspec.structs.replace(
+        target, service=target.service or group.service, size=target.size or group.size
+    )
+
+
+def is_complete(target: GroupTarget) -> bool:
+    """Whether a planner tells of a group all that requests depend on."""
+    return bool(target.service) and target.size > 0
 
 
 class NodeState:
@@ -182,7 +189,7 @@
         self._avoided_until: dict[InstanceId, float] = {}
         self._recent_demand: deque[tuple[float, HostedModel, float]] = deque()
         self._targets = RoutingTargets()
-        self._plan_lacks_services = False
+        self._plan_is_complete = True
         self._completed_groups: tuple[GroupTarget, ...] = ()
         self._completed_groups_key: tuple[PlanVersion, int] | None = None
         self.targets_version = PlanVersion(-1, -1)
@@ -243,7 +250,7 @@
         if plan.targets is not None:
             self._stop_avoiding_new_heads(plan.targets)
             self._targets = plan.targets
-            self._plan_lacks_services = any(not each.service for each in plan.targets.groups)
+            self._plan_is_complete = all(map(is_complete, plan.targets.groups))
             self.targets_version = version
         self.plan = plan
         if self.targets_version == version:
@@ -302,7 +309,9 @@
 
         It need not while a plan is in force whose sender follows the list.
         """
-        if self.plan is None or not self.plan.list_is_current or self._plan_lacks_services:
+        if self.plan is None or not self.plan.list_is_current:
+            return True
+        if not self._plan_is_complete:
             return True
         return not self.plan_is_in_force(now) or self.plan_list_age(now) > self._plan_lifetime_s()
 
@@ -325,12 +334,12 @@
         It is taken from this node's own view of the list, and stays unknown for groups that
         are not there.
         """
-        if not self._plan_lacks_services:
+        if self._plan_is_complete:
             return self._targets.groups
         key = (self.targets_version, self.fleet.version)
         if key != self._completed_groups_key:
             listed = {
-                (group.id, group.epoch, group.head): group.service
+                (group.id, group.epoch, group.head): group
                 for group in assemble_groups(self.fleet.all_instances())
             }
             self._completed_groups = tuple(
@@ -459,6 +468,7 @@
             data_centre,
             self.is_cold(group.head, now),
             group.service,
+            group.size,
         )
 
     def _own_servers(self, now: float) -> tuple[PlainServerTarget, ...]:
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -130,7 +130,9 @@
     if engine is None or spec is None:
         return None
     usable_groups = [
-        group for group in _groups_of_model(state, hosted, now) if group.head not in tried
+        group
+        for group in _groups_of_model(state, hosted, spec.group_size, now)
+        if group.head not in tried
     ]
     preferred_groups = state.group_preferences.sort(usable_groups)
     free = [each for each in preferred_groups if _has_room(state, engine, each.head, now)]
@@ -163,18 +165,25 @@
     state: NodeState, hosted: HostedModel, engine: EngineSpec, spec: ModelSpec, now: float
 ) -> ModelLoad:
     """Return the load of all groups together that requests for a hosted model may be sent to."""
-    groups = _groups_of_model(state, hosted, now)
+    groups = _groups_of_model(state, hosted, spec.group_size, now)
     tracker = state.load_tracker
     return model_load(engine, spec, [tracker.total_load(each.head).in_flight for each in groups])
 
 
-def _groups_of_model(state: NodeState, hosted: HostedModel, now: float) -> list[GroupTarget]:
-    """Return the groups of a service and a model that requests may be sent to."""
+def _groups_of_model(
+    state: NodeState, hosted: HostedModel, size: int, now: float
+) -> list[GroupTarget]:
+    """Return the groups of a service and a model that requests may be sent to.
+
+    Groups of another size than the configuration in force asks for are left out, whichever
+    plan or list tells of them: the planner may know of the configuration later, or not at all.
+    """
     return [
         group
         for group in state.groups(now)
         if group.service == hosted.service
         and group.model == hosted.model
+        and group.size == size
         and not state.has_left(group.head, now)
         and not state.is_avoided(group.head, now)
         and not is_evacuated(state, group.head, group.data_centre)
--- a/briarpond/placement/_loads.py
+++ b/briarpond/placement/_loads.py
@@ -28,10 +28,14 @@
 
     def __init__(self, starts_per_s: float, max_concurrent: int, window_s: float) -> None:
         self.enforced = False
+        self._start_times: deque[float] = deque()
+        self.configure(starts_per_s, max_concurrent, window_s)
+
+    def configure(self, starts_per_s: float, max_concurrent: int, window_s: float) -> None:
+        """Change the limits; loads that have started go on to count."""
         self._max_per_window = max(1, int(starts_per_s * window_s))
         self._max_concurrent = max_concurrent
         self._window_s = window_s
-        self._start_times: deque[float] = deque()
 
     def record_started(self, count: int, now: float) -> None:
         """Count loads that another planner started as if they started at `now`."""
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -17,6 +17,8 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
+import msgspec
+
 from briarpond.fleet import Instance, Membership, MemberState
 from briarpond.ids import DataCentre, FabricDomain, InstanceId
 from briarpond.routes import EngineSpec, ModelName
@@ -131,6 +133,11 @@
         for group in list(self.groups.values()):
             self._apply_memberships(group, now)
 
+    @property
+    def engine_without_models(self) -> EngineSpec:
+        """The engine in force if the service hosts no model any more: all groups are closed."""
+        return msgspec.structs.replace(self._roster.engine, models=())
+
     def set_evacuated(self, evacuated: frozenset[DataCentre]) -> None:
         """Record which data centres are evacuated.
 
@@ -143,6 +150,27 @@
         """Use a new term for the epochs of later groups, after the lease was renewed."""
         self._formation.term = max(self._formation.term, term)
 
+    def configure(self, engine: EngineSpec, stall_s: float, load_window_s: float) -> None:
+        """Plan by the configuration and the settings in force.
+
+        Called before each step: both may change while this node plans. Groups that no longer fit
+        are closed, and their running requests may finish.
+
+        Parameters
+        ----------
+        engine : EngineSpec
+            Models of the service and the speed of its engines.
+        stall_s : float
+            Time in seconds that a group which lost a member stalls before it breaks.
+        load_window_s : float
+            Length in seconds of the window in which loads are counted.
+        """
+        self._roster.engine = engine
+        self._stall_s = stall_s
+        self._load_budget.configure(
+            engine.load_starts_per_s, engine.max_concurrent_loads, load_window_s
+        )
+
     def limit_loads(self) -> None:
         """Keep to the limit on loads from now on, since callers have come."""
         self._load_budget.enforced = True
@@ -340,6 +368,8 @@
         """Advance the stage of a group if possible; return the orders to send for it."""
         if group.stage in (GroupStage.OPEN, GroupStage.OPENING):
             self._close_if_incomplete(group, now)
+        if group.stage in (GroupStage.OPEN, GroupStage.OPENING) and not self._roster.fits(group):
+            begin_close(self._roster, group, False, now)
         match group.stage:
             case GroupStage.STAGING | GroupStage.JOINING:
                 return self._orders_to_join(group, now)
@@ -370,12 +400,11 @@
     def _orders_to_join(self, group: PlannedGroup, now: float) -> list[Order]:
         """Return the orders to join; open the group once all members are ready.
 
-        A staging group is removed instead of opened. A group is abandoned when a member
-        becomes unusable or the deadline has passed. In an evacuated data centre nothing is
-        ordered.
+        A staging group is removed instead of opened. A group is abandoned when a member becomes
+        unusable, the deadline has passed, or the configuration has another size for its model.
+        In an evacuated data centre nothing is ordered.
         """
-        spec = self._roster.engine.model(group.model)
-        infeasible = spec is None or not all(
+        infeasible = not self._roster.fits(group) or not all(
             self._roster.usable(member) for member in group.members
         )
         late = now > group.join_deadline
--- a/briarpond/placement/_roster.py
+++ b/briarpond/placement/_roster.py
@@ -30,6 +30,8 @@
 
     Attributes
     ----------
+    engine : EngineSpec
+        The same, as the configuration in force has it.
     groups : dict
         Groups that the planner forms, keeps or dissolves.
     instances : dict
@@ -104,6 +106,16 @@
             and instance_id not in self.lost
         )
 
+    def fits(self, group: PlannedGroup) -> bool:
+        """Whether a group has the size that the engine in force asks of its model's groups.
+
+        One that only stages a model fits as long as the service hosts the model.
+        """
+        spec = self.engine.model(group.model)
+        if spec is None or group.stage is GroupStage.STAGING:
+            return spec is not None
+        return len(group.members) == spec.group_size
+
     def is_evacuated(self, group: PlannedGroup) -> bool:
         """Whether the data centre of a group, in which all its members are, is evacuated."""
         members = [self.instances.get(member) for member in group.members]
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -31,7 +31,7 @@
 from briarpond.directory._loads import subtract_load, sum_loads
 from briarpond.net import Address
 
-GROUP = GroupTarget("g", 3000001, "m", "i", Address("10.0.0.2", 81), "a", service="pool")
+GROUP = GroupTarget("g", 3000001, "m", "i", Address("10.0.0.2", 81), "a", service="pool", size=4)
 SERVER = PlainServerTarget("p", "desk", Address("10.0.0.3", 82), "a", 6)
 LOAD = Load((ServerInFlight("i", 3, 400),), (ModelDemand("m", 1.5, "pool"),))
 
--- a/tests/gateway/test_cold_servers.py
+++ b/tests/gateway/test_cold_servers.py
@@ -84,6 +84,7 @@
                 Address("10.8.0.1", 80 + n),
                 cold=head in cold,
                 service="pool",
+                size=4,
             )
             for n, head in enumerate(names)
         )
@@ -125,7 +126,11 @@
 def test_first_request_after_the_discovery_is_paced_like_any_other(cold_gateway):
     """Guards against 140 nodes that send at the moment at which they learn of the server."""
     gateway = cold_gateway
-    groups = (GroupTarget("g", 1, "big", MINE, Address("10.8.0.1", 80), cold=True, service="pool"),)
+    groups = (
+        GroupTarget(
+            "g", 1, "big", MINE, Address("10.8.0.1", 80), cold=True, service="pool", size=4
+        ),
+    )
     gateway.state.accept_plan(Plan(1, 9, False, RoutingTargets(groups, ())), gateway.clock.now())
     gateway.send_stream_request()
     rank = choose_senders(MINE, [OWN, *OTHERS], 30).index(OWN)
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -414,7 +414,7 @@
 
 def group_target(name, data_centre):
     address = Address("10.8.0.1", 80)
-    return GroupTarget(f"g-{name}", 1, "big", name, address, data_centre, service="pool")
+    return GroupTarget(f"g-{name}", 1, "big", name, address, data_centre, service="pool", size=4)
 
 
 def server_target(name, data_centre):
@@ -442,7 +442,9 @@
     gateway = Gateway(tmp_path)
     addresses = {each: Address(f"10.8.0.{n}", 80) for n, each in enumerate(PLACES)}
     groups = tuple(
-        GroupTarget(f"g-{each}", 1, "big", f"h-{each}", addresses[each], each, service="pool")
+        GroupTarget(
+            f"g-{each}", 1, "big", f"h-{each}", addresses[each], each, service="pool", size=4
+        )
         for each in PLACES
     )
     servers = tuple(
--- a/tests/gateway/test_heavy_load.py
+++ b/tests/gateway/test_heavy_load.py
@@ -54,7 +54,14 @@
     near, far = state.settings.data_centre, "elsewhere"
     groups = tuple(
         GroupTarget(
-            f"g{n}", 1, "big", f"h{n}", Address("10.8.0.1", 80 + n), data_centre, service="pool"
+            f"g{n}",
+            1,
+            "big",
+            f"h{n}",
+            Address("10.8.0.1", 80 + n),
+            data_centre,
+            service="pool",
+            size=4,
         )
         for n, data_centre in enumerate((near, near, far))
     )
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -172,7 +172,9 @@
     def publish_plan(self, heads, list_is_current: bool = False) -> None:
         """Put a plan with one group for each of `heads` into force."""
         group_targets = tuple(
-            GroupTarget(f"g-{head}", 1, "big", head, Address("10.8.0.1", 80 + n), service="pool")
+            GroupTarget(
+                f"g-{head}", 1, "big", head, Address("10.8.0.1", 80 + n), service="pool", size=4
+            )
             for n, head in enumerate(heads)
         )
         sequence = 1 if self.state.plan is None else self.state.plan.sequence + 1
