Retry budgets keep to the settings in force

What operators saw: a bound on retries that was changed in the settings file took effect only for services without a request yet.

Evidence and result: the new test fails without the change, and passes.

Change: the budget takes them over at each use; what was counted in the window goes on to count.

--- a/briarpond/dispatch/_budget.py
+++ b/briarpond/dispatch/_budget.py
@@ -28,11 +28,15 @@
     """
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self._request_times: deque[float] = deque()
+        self._retry_times: deque[float] = deque()
+        self.configure(ratio, slack, window_s)
+
+    def configure(self, ratio: float, slack: float, window_s: float) -> None:
+        """Change the limit; what was counted in the window goes on to count."""
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._request_times: deque[float] = deque()
-        self._retry_times: deque[float] = deque()
 
     def record_request(self, now: float) -> None:
         """Count a caller's request for the service, which raises the budget."""
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -216,13 +216,13 @@
 
     def retry_budget(self, service: ServiceName) -> SharedRetryBudget:
         """Return this node's share of the repeated sends to a service."""
+        bounds = self.settings.bounds
+        limits = (bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
         budget = self._retry_budgets.get(service)
         if budget is None:
-            bounds = self.settings.bounds
-            budget = SharedRetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
-            )
-            self._retry_budgets[service] = budget
+            budget = self._retry_budgets[service] = SharedRetryBudget(*limits)
+        # The settings may have been read again since.
+        budget.configure(*limits)
         return budget
 
     def accept_plan(
--- a/tests/gateway/test_changed_configuration.py
+++ b/tests/gateway/test_changed_configuration.py
@@ -160,6 +160,17 @@
     assert planner._stall_s == 1.5 and planner._load_budget._window_s == 9.0
 
 
+def test_retry_budget_keeps_to_the_settings_in_force(node):
+    """Settings are read again at SIGHUP; requests and retries so far go on to count."""
+    state, now = node.state, node.clock.now()
+    budget = state.retry_budget("desk")
+    assert budget.try_acquire(1, now)
+    bounds = msgspec.structs.replace(state.settings.bounds, retry_ratio=0.0, retry_slack=1.0)
+    state.settings = msgspec.structs.replace(state.settings, bounds=bounds)
+    assert state.retry_budget("desk") is budget
+    assert not budget.try_acquire(1, now)
+
+
 def test_groups_of_a_service_that_is_removed_are_closed(node):
     configure(node, services=[DESK])
     step(node)
