--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -311,7 +311,9 @@
         if reason is LossReason.MALFORMED and not self._context.runs_in_group:
             # Another plain server can do the same; a group would be missed.
             self._state.avoid(self.server, now)
-        self.record_crash(now)
+        if reason is not LossReason.MALFORMED:
+            # A server that sends bytes that are no answer has not ended.
+            self.record_crash(now)
         self._callbacks.on_failed(self, SendFailure.UNKNOWN, reason.value)
 
     # Progress and load
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -30,6 +30,8 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,9})")
 # Largest answer to `HttpClient.fetch`; a larger one fails as malformed.
 MAX_FETCH_BYTES = 16 * 1024 * 1024
+# Greatest status of HTTP (RFC 9110, 15).
+LAST_STATUS = 599
 
 
 class CallState(Enum):
@@ -223,6 +225,10 @@
 
     def _on_response_head(self, event: h11.Response) -> None:
         """Pass the head on, unless `HttpCall.echoed_header` shows an answer to another request."""
+        if event.status_code > LAST_STATUS:
+            # The parser takes any three digits that are not below 100.
+            self._fail(LossReason.MALFORMED)
+            return
         headers = decode_headers(event.headers)
         echo = self._call.echoed_header
         if echo is not None:
--- a/tests/gateway/test_server_faults.py
+++ b/tests/gateway/test_server_faults.py
@@ -132,6 +132,30 @@
     assert len(servers) == 2 and faulty not in servers
 
 
+# Guards against blame for the parts of a prompt because servers send bytes that are no answer.
+def test_answer_that_is_none_is_no_end_of_a_server(tmp_path):
+    gateway = Gateway(tmp_path)
+    reply = gateway.send_stream_request(x_briarpond_prompt_prefix="f1:1,a1:2")
+    (sent,) = gateway.client.sent
+    sent.call.on_lost(LossReason.MALFORMED)
+    assert not gateway.state.quarantine._crashes.mentions("f1")
+    second = gateway.client.sent[-1]
+    assert second is not sent
+    second.call.on_lost(LossReason.MALFORMED)
+    gateway.clock.advance(9.0)
+    # It may have run: no refusal that says otherwise, and no stamp of a server.
+    assert reply.status in (502, 504) and reply.headers == ()
+
+
+# Guards against a second run of a request that may have run at a server in trouble.
+def test_answer_that_is_none_may_have_run(tmp_path):
+    gateway = Gateway(tmp_path)
+    reply = gateway.send_request("/order/1")
+    gateway.client.sent[0].call.on_lost(LossReason.MALFORMED)
+    gateway.clock.advance(2.0)
+    assert len(gateway.client.sent) == 1 and (reply.status, reply.headers) == (502, ())
+
+
 def test_small_answers_are_kept_while_others_take_up_the_memory(tmp_path):
     gateway = Gateway(tmp_path)
     gateway.state.kept_bytes.change(0, 2 * MAX_KEPT_BYTES)
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -203,7 +203,7 @@
             conn.close()
 
 
-def call(loop, client, server, name="a"):
+def call(loop, client, server, name="a", method="GET"):
     """Call a scripted server; return status and end of the call, and the body.
 
     Parameters
@@ -215,7 +215,7 @@
     body = bytearray()
     http_call = HttpCall(
         server.address,
-        "GET",
+        method,
         "/",
         (("x-id", name),),
         b"",
