--- a/briarpond/net/_caller_connection.py
+++ b/briarpond/net/_caller_connection.py
@@ -86,6 +86,7 @@
         if self.phase is ConnectionPhase.CLOSING:
             return
         if self.phase is ConnectionPhase.IDLE:
+            self._apply_header_limit()
             self.phase = ConnectionPhase.READING
             self._phase_started_at = self._server.clock.now()
         self._peeked_bytes = len(data) if self._conn.peeks else 0
@@ -347,8 +348,16 @@
     # Parsing
 
     def _new_parser(self) -> h11.Connection:
-        max_bytes = self._server.limits.max_header_bytes + 1
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
+        self._parser_header_bytes = self._server.limits.max_header_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._parser_header_bytes + 1)
+
+    def _apply_header_limit(self) -> None:
+        """Parse the request whose first bytes have arrived by the limit in force now.
+
+        The parser was made when the connection began to wait, which may be long ago.
+        """
+        if self._parser_header_bytes != self._server.limits.max_header_bytes:
+            self._h11 = self._new_parser()
 
     def _consume_peeked(self, trailing_bytes: int) -> None:
         """Take what is parsed out of the socket, without `trailing_bytes` of later requests."""
--- a/briarpond/net/_http_request.py
+++ b/briarpond/net/_http_request.py
@@ -41,8 +41,7 @@
     """Limits on requests and connections of callers.
 
     When they change, `HttpServer.limits` is replaced as a whole. Open connections use the
-    new limits too, except for the size up to which h11 buffers incomplete headers: that
-    is set when a connection begins to wait for a request.
+    new limits too, from their next request on.
 
     Attributes
     ----------
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -152,6 +152,26 @@
     assert received.startswith(b"HTTP/1.1 " + status) and not seen
 
 
+@pytest.mark.parametrize(
+    ("before", "after", "status"), [(2000, 9000, b"200"), (9000, 2000, b"431")]
+)
+def test_open_connection_keeps_to_the_limit_on_headers_in_force(loop, before, after, status):
+    """Guards against DENIED: 431 on kept connections after the limit had been raised."""
+    server, port = serve(loop, echo([]), max_header_bytes=before)
+    small = b"GET /%b HTTP/1.1\r\nHost: a\r\n\r\n"
+    # In two pieces, so that the parser has to keep the first one.
+    head = [b"GET /big HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 5000, b"\r\n\r\n"]
+    with socket.create_connection(("127.0.0.1", port)) as conn:
+        conn.settimeout(5)
+        conn.sendall(small % b"first")
+        assert b"/first" in conn.recv(65536)
+        server.limits = HttpServerLimits(max_header_bytes=after)
+        for piece in head:
+            conn.sendall(piece)
+            time.sleep(0.05)
+        assert conn.recv(65536).startswith(b"HTTP/1.1 " + status)
+
+
 def test_connection_with_slow_headers_or_no_request_is_closed(loop):
     _, port = serve(loop, echo([]), header_timeout_s=0.2, idle_timeout_s=0.4)
     assert send_as_caller(loop, port, b"GET / HT") == b""
