Loads of all services share one limit (CEILING)

What the weight store saw: with two services of model servers, twice the rate of loads that the operators allow, since the planner of each service kept a limit of its own.

Cause: a limit that is the deployment's was kept by service.

Evidence and result: the new test fails without the change and passes; the tests of the planner's link and of changed configurations pass.

--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -72,6 +72,8 @@
         self._lease = lease
         self._peers = peers
         self._planners: dict[ServiceName, Planner] = {}
+        # The weight store is one for all services, and so is the limit on loads.
+        self._load_budget = LoadBudget(0.0, 0, 0.0)
         self._probes: dict[InstanceId, Exchange] = {}
         self._probed_at: dict[InstanceId, float] = {}
         self._term = 0
@@ -281,11 +283,13 @@
         self._term = self._lease.term
         self._held_since = self._lease.held_since
         engine = spec.engine
-        load_budget = LoadBudget(
-            engine.load_starts_per_s, engine.max_concurrent_loads, bounds.weight_load_window_s
-        )
-        # An empty demand means only then that callers have not come yet.
-        load_budget.enforced = not self._state.settings.first_start or self._state.has_served
+        load_budget = self._load_budget
+        if not self._planners:
+            load_budget = self._load_budget = LoadBudget(
+                engine.load_starts_per_s, engine.max_concurrent_loads, bounds.weight_load_window_s
+            )
+            # An empty demand means only then that callers have not come yet.
+            load_budget.enforced = not self._state.settings.first_start or self._state.has_served
         load_budget.record_started(self._count_joining(spec.name), now)
         planner = Planner(
             self._term,
--- a/tests/gateway/test_services_with_one_model.py
+++ b/tests/gateway/test_services_with_one_model.py
@@ -263,6 +263,19 @@
     assert all(each._load_budget.enforced for each in runner._planners.values())
 
 
+def test_loads_of_all_services_share_one_limit(gateway, runner):
+    """Guards against CEILING: the weight store is one, whatever the number of services."""
+    gateway.rows = (ModelDemand("big", 1.0, "pool"),)
+    gateway.clock.advance(0.1)
+    runner.step()
+    now, (first, second) = gateway.clock.now(), runner._planners.values()
+    while first._load_budget.try_start(1, 0, now):
+        pass
+    assert not second._load_budget.try_start(1, 0, now)
+    bounds = gateway.state.settings.bounds
+    assert second._load_budget.try_start(1, 0, now + bounds.weight_load_window_s)
+
+
 def test_stages_of_the_groups_of_two_services_are_logged_once(gateway, runner, monkeypatch):
     """Guards against a log in which the groups of each service dissolve at every step."""
     events = []
