A model that a version adds gets a group (CONFIG)

Where all are in use, none ever loads a model that nobody has.

Change: for a model that no group serves and no instance has, one domain is kept. Groups of the models with most groups are closed there, with their requests finishing, until the first group of the model has its members, which load it within the limit on loads.

More groups than the first come from spares only.

--- a/briarpond/placement/_formation.py
+++ b/briarpond/placement/_formation.py
@@ -54,6 +54,10 @@
     quotas : mapping
         Number of groups of each model that each domain starts with; used until the first
         request arrives.
+    new_model : ModelSpec or None
+        Model that no instance has; its first group loads it.
+    kept_domain : FabricDomain or None
+        Domain whose free instances are kept for that group.
     """
 
     def __init__(
@@ -61,6 +65,8 @@
     ) -> None:
         self.term = term
         self.quotas: GroupQuotas = {}
+        self.new_model: ModelSpec | None = None
+        self.kept_domain: FabricDomain | None = None
         self._roster = roster
         self._load_budget = load_budget
         self._group_numbers = group_numbers
@@ -83,12 +89,22 @@
         """
         instances = free[domain]
         while True:
-            specs = sorted(
-                self._roster.engine.models, key=lambda spec: self._roster.supply_ratio(spec, demand)
-            )
+            specs = self._specs_for(domain, demand)
             if not any(self._form_group(spec, instances, demand, now) for spec in specs):
                 return
 
+    def _specs_for(
+        self, domain: FabricDomain, demand: Mapping[ModelName, float]
+    ) -> list[ModelSpec]:
+        """Return the models that a domain may form groups of, the least supplied one first."""
+        if self.new_model is not None and domain == self.kept_domain:
+            is_forming = any(
+                group.model == self.new_model.name for group in self._roster.groups.values()
+            )
+            return [] if is_forming else [self.new_model]
+        models = self._roster.engine.models
+        return sorted(models, key=lambda spec: self._roster.supply_ratio(spec, demand))
+
     def _form_group(
         self,
         spec: ModelSpec,
@@ -142,6 +158,7 @@
             return False
         return (
             not self._load_budget.enforced
+            or spec == self.new_model
             or self._roster.expected_join_s(instance.id, spec) < spec.load_s
         )
 
@@ -154,6 +171,8 @@
         """Load the models that each domain lacks most onto its idle instances."""
         staging = self._roster.staging()
         for domain, instances in free.items():
+            if self.new_model is not None and domain == self.kept_domain:
+                continue
             spare_counts: dict[ModelName, int] = defaultdict(int)
             for instance in instances:
                 model = staging.get(instance.id) or self._roster.last_model.get(instance.id)
--- a/briarpond/placement/_planner.py
+++ b/briarpond/placement/_planner.py
@@ -29,6 +29,7 @@
 from ._layout import initial_layout
 from ._loads import LoadBudget
 from ._models import GroupStage, Order, OrderKind, PlannedGroup
+from ._new_models import find_new_model, make_room
 from ._roster import Roster
 
 # All durations are in seconds.
@@ -294,6 +295,10 @@
             self._formation.quotas = initial_layout(self._roster.engine, instances)
         free = self._roster.free_by_domain(now)
         self._close_slow_groups(free, now)
+        new_model = find_new_model(self._roster) if self._load_budget.enforced else None
+        self._formation.new_model = new_model
+        if new_model is not None:
+            self._formation.kept_domain = make_room(self._roster, new_model, free, now)
         for domain in sorted(free, key=lambda each: -len(free[each])):
             self._formation.form_groups_in(domain, free, demand, now)
         self._roster.record_free_instances(free, now)
--- a/tests/placement/test_changed_engine.py
+++ b/tests/placement/test_changed_engine.py
@@ -4,6 +4,8 @@
 of the former size went on serving, and a model that was added got no group.
 """
 
+from collections import Counter
+
 import msgspec
 import pytest
 
@@ -143,6 +145,49 @@
     assert not world.serving() and not planner.groups and world.violations == []
 
 
+def with_second_model(size, group_size=2):
+    """Return an engine with a second model that no instance has."""
+    engine = engine_with_size(size)
+    (big,) = engine.models
+    added = msgspec.structs.replace(big, name="added", group_size=group_size)
+    return msgspec.structs.replace(engine, models=(big, added))
+
+
+@pytest.mark.parametrize("group_size", [1, 2, 4, 6])
+@pytest.mark.parametrize("demand", [DEMAND, {"big": 9.0, "added": 1.0}])
+def test_model_that_is_added_gets_a_group(group_size, demand):
+    """Guards against a route to a new model that is refused for good: all instances were taken."""
+    world = ChangingWorld(2)
+    world.engine = with_second_model(2, group_size)
+    world.running_planner.configure(world.engine, STALL_S, LOAD_WINDOW_S)
+    loads = len(world.loads)
+    world.run(world.running_planner, 25.0, demand)
+    models = Counter(head.group[3] for head in world.serving())
+    assert models["added"] >= 1 and models["big"] >= 2
+    assert OrderKind.CLOSE_CUT not in {order.kind for order in world.orders}
+    assert len(world.loads) - loads <= 2 * group_size and world.violations == []
+
+
+def test_model_that_is_renamed_is_loaded_under_its_new_name():
+    world = ChangingWorld(2)
+    (big,) = world.engine.models
+    renamed = msgspec.structs.replace(big, name="renamed")
+    world.engine = msgspec.structs.replace(world.engine, models=(renamed,))
+    world.running_planner.configure(world.engine, STALL_S, LOAD_WINDOW_S)
+    world.run(world.running_planner, 60.0, {"renamed": 3.0})
+    assert {head.group[3] for head in world.serving()} == {"renamed"}
+    assert world.violations == []
+
+
+def test_new_model_for_which_no_domain_is_large_enough_costs_no_group():
+    world = ChangingWorld(2, count=9, domain_size=3)
+    groups = len(world.serving())
+    world.engine = with_second_model(2, 4)
+    world.running_planner.configure(world.engine, STALL_S, LOAD_WINDOW_S)
+    world.go_on(20.0)
+    assert len(world.serving()) == groups and world.violations == []
+
+
 def test_new_planner_closes_groups_of_another_size():
     """It has never known the former size."""
     world = ChangingWorld(2)
