A message that is too large for a datagram loses only a part

Cause: the socket refuses such a datagram whole.

Evidence: the new test sends a pull with 2,500 long parts, with 4,000 rows of loads, and with both; each is larger than a datagram.

Change: such a message leaves out evidence, which is told for seconds, then loads in flight, which are told again with the next one. The line `datagram_cut` says how large it was.

Not cut: a plan that is too large alone.

--- a/briarpond/directory/__init__.py
+++ b/briarpond/directory/__init__.py
@@ -8,6 +8,7 @@
     encode_config_record,
     encode_datagram,
 )
+from ._fitting import MAX_DATAGRAM_BYTES, smaller_messages
 from ._loads import demand_rows
 from ._members import MemberTable
 from ._models import (
@@ -35,6 +36,7 @@
 __all__ = [
     "HOUSEKEEPING_INTERVAL_S",
     "LOAD_LIFETIME_S",
+    "MAX_DATAGRAM_BYTES",
     "PAUSE_S",
     "RELAY_INTERVAL_S",
     "UNENCODABLE",
@@ -65,4 +67,5 @@
     "demand_rows",
     "encode_config_record",
     "encode_datagram",
+    "smaller_messages",
 ]
--- a/briarpond/gateway/_peers.py
+++ b/briarpond/gateway/_peers.py
@@ -8,6 +8,7 @@
 
 from briarpond.directory import (
     HOUSEKEEPING_INTERVAL_S,
+    MAX_DATAGRAM_BYTES,
     PAUSE_S,
     RELAY_INTERVAL_S,
     UNENCODABLE,
@@ -22,14 +23,13 @@
     SyncCallbacks,
     decode_datagram,
     encode_datagram,
+    smaller_messages,
 )
 from briarpond.ids import InstanceId
 from briarpond.logs import log_warning
 from briarpond.net import Address, Clock, DirectPoller, run_guarded
 from briarpond.quarantine import Evidence
 
-# Buffer for one datagram.
-MAX_DATAGRAM_BYTES = 65_000
 # Datagrams that are read before the event loop goes on to other work.
 MAX_DATAGRAMS_PER_READ = 64
 
@@ -149,7 +149,19 @@
                 self._send(data, each.host)
 
     def _encode(self, message: Datagram) -> bytes:
-        """Return the datagram of a message; empty if it cannot be encoded."""
+        """Return the datagram of a message, or of what fits of it; empty if there is none."""
+        data = self._encode_whole(message)
+        whole_bytes = len(data)
+        for smaller in smaller_messages(message):
+            if len(data) <= MAX_DATAGRAM_BYTES:
+                break
+            data = self._encode_whole(smaller)
+        if whole_bytes > MAX_DATAGRAM_BYTES:
+            kind = type(message).__name__
+            log_warning("datagram_cut", kind=kind, bytes=whole_bytes, sent=len(data))
+        return data if len(data) <= MAX_DATAGRAM_BYTES else b""
+
+    def _encode_whole(self, message: Datagram) -> bytes:
         try:
             return encode_datagram(message)
         except UNENCODABLE as exc:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -4,9 +4,21 @@
 
 import pytest
 
-from briarpond.directory import Load, Member, ServerInFlight, SyncCallbacks
+from briarpond.directory import (
+    MAX_DATAGRAM_BYTES,
+    Load,
+    Member,
+    ModelDemand,
+    PlanVersion,
+    Pull,
+    ServerInFlight,
+    SyncCallbacks,
+    decode_datagram,
+    encode_datagram,
+)
 from briarpond.gateway._peers import PeerLink
 from briarpond.net import Address
+from briarpond.quarantine import CrashKey, CrashReport, Evidence
 
 from .world import VirtualClock
 
@@ -98,3 +110,32 @@
     link.link.start()
     link.clock.advance(15.0)
     assert not failures and link.received() > 1
+
+
+# Guards against a message that is lost whole because one thing in it is too large: the node's
+# pulls, answers and notices failed for seconds after each end of a server.
+@pytest.mark.parametrize("large", ["evidence", "load", "both"])
+def test_message_larger_than_a_datagram_loses_what_is_told_again(make_link, large):
+    load = Load((), (ModelDemand("big", 1.0),))
+    if large != "evidence":
+        rows = tuple(ServerInFlight(f"server-{number}", 3, 500) for number in range(4_000))
+        load = Load(rows, load.demand)
+    evidence = None
+    if large != "load":
+        parts = tuple(f"{number:032x}" for number in range(2_500))
+        evidence = Evidence((CrashReport(CrashKey("s", 1), 0.1, (parts,)),))
+    link = make_link(lambda now: load)
+    pull = Pull(link.link.sync.members.own, 1, 0, 0, PlanVersion(), 0, load, evidence)
+    data = link.link._encode(pull)
+    assert len(encode_datagram(pull)) > MAX_DATAGRAM_BYTES >= len(data)
+    read = decode_datagram(data).ok
+    assert read.sender == pull.sender and read.load.demand == load.demand
+    assert read.evidence is None
+    assert read.load.servers == ()
+
+
+def test_message_that_fits_is_sent_whole(make_link):
+    load = Load((ServerInFlight("i", 3, 4),), ())
+    link = make_link(lambda now: load)
+    pull = Pull(link.link.sync.members.own, 1, 0, 0, PlanVersion(), 0, load, Evidence())
+    assert link.link._encode(pull) == encode_datagram(pull)
