Crashes without a suspect are told again; listed groups make no plan incomplete

Evidence and result: the new test of a crash without requests fails without the change and passes. The second has no test of its own: the condition is now the service alone, which only older planners leave out.

--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -76,7 +76,10 @@
 def complete_target(
     target: GroupTarget, listed: Mapping[tuple[GroupId, int, InstanceId], ListedGroup]
 ) -> GroupTarget:
-    """Return a group of a plan with its service and size, if the plan or the list tells them.
+    """Return a group of a plan with its service and size.
+
+    A planner of an older release tells neither; then they are those of the list, if it has the
+    group.
 
     Parameters
     ----------
@@ -86,16 +89,9 @@
         Listed groups by name, epoch and head.
     """
     group = listed.get((target.group, target.epoch, target.head))
-    if group is None or is_complete(target):
+    if group is None or target.service:
         return target
-    return msgspec.structs.replace(
-        target, service=target.service or group.service, size=target.size or group.size
-    )
-
-
-def is_complete(target: GroupTarget) -> bool:
-    """Whether a planner tells of a group all that requests depend on."""
-    return bool(target.service) and target.size > 0
+    return msgspec.structs.replace(target, service=group.service, size=group.size)
 
 
 class NodeState:
@@ -250,7 +246,8 @@
         if plan.targets is not None:
             self._stop_avoiding_new_heads(plan.targets)
             self._targets = plan.targets
-            self._plan_is_complete = all(map(is_complete, plan.targets.groups))
+            # Planners of older releases name no service.
+            self._plan_is_complete = all(each.service for each in plan.targets.groups)
             self.targets_version = version
         self.plan = plan
         if self.targets_version == version:
--- a/briarpond/quarantine/_quarantine.py
+++ b/briarpond/quarantine/_quarantine.py
@@ -422,7 +422,8 @@
         counts = {part: self._count_since_survival(part, now) for part in _parts_of(changed)}
 
         def rank(crash: Crash) -> tuple[int, float]:
-            return -max(counts[part] for part in crash.parts), -crash.changed_at
+            most = max((counts[part] for part in crash.parts), default=0)
+            return -most, -crash.changed_at
 
         return report_crashes(sorted(changed, key=rank)[:MAX_CRASHES_TOLD], counts, now)
 
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -331,6 +331,14 @@
     assert evidence is None or not evidence.crashes
 
 
+def test_crash_that_no_request_may_have_caused_is_told(node):
+    """It counts among the ends of servers for other reasons."""
+    node.crash("s1")
+    node.crash("s2", "f bad r1")
+    crashes = node.quarantine.evidence(node.now).crashes
+    assert {each.key.server: len(each.requests) for each in crashes} == {"s1": 0, "s2": 1}
+
+
 def test_evidence_is_forgotten(node):
     node.crash("s1", "f bad r1")
     node.now += 61.0
