--- a/review/standins_3/servers.py
+++ b/review/standins_3/servers.py
@@ -55,6 +55,7 @@
         self.says_leaving = False
         self.runs = []
         self.running = 0
+        self.has_ended = False
         self._seq = 0
         self._writers = set()
         self._tasks = set()
@@ -67,6 +68,7 @@
 
     def end(self):
         """End at once, as the process of a server does."""
+        self.has_ended = True
         self._listener.close()
         for task in self._tasks:
             task.cancel()
@@ -158,7 +160,7 @@
             *self.common_headers(headers),
         )
         writer.write(encode_answer(200, f"done {request_id}".encode(), fields))
-        row[2] = True
+        row[2] = not self.has_ended
 
 
 class ModelServer(Server):
--- a/review/standins_3/store.py
+++ b/review/standins_3/store.py
@@ -89,6 +89,8 @@
     ----------
     is_away : bool
         Whether the store resets each channel on which a request arrives.
+    rejects_nodes : bool
+        Whether it does so to the nodes, while it serves the operator and the servers.
     era : int
         Value of the header `Store-Era`.
     """
@@ -98,6 +100,7 @@
         self.topics = {}
         self.groups = {}
         self.is_away = False
+        self.rejects_nodes = False
         self.era = 1
         self._copies = []
         self._awaited = ""
@@ -209,8 +212,9 @@
             while (request := await read_request(reader)) is not None:
                 if self.is_away and self._awaited in request[3].decode("latin-1"):
                     self._turned_away.set()
-                answer = None if self.is_away else await self._answer(*request)
-                if answer is None or self.is_away:
+                is_closed = self.is_away or self.rejects_nodes
+                answer = None if is_closed else await self._answer(*request)
+                if answer is None or self.is_away or self.rejects_nodes:
                     writer.transport.abort()
                     return
                 writer.write(answer)
