--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import traceback
 from pathlib import Path
 
 from .wire import READ_ERRORS, parse_headers
@@ -245,7 +246,7 @@
 
     try:
         status = asyncio.run(limited())
-    except (CaseError, TimeoutError, OSError) as exc:
-        print(f"could not run: {exc!r}")
+    except Exception:
+        traceback.print_exc()
         status = EXIT_NOT_RUN
     sys.exit(status)
--- a/review/standins_3/record.py
+++ b/review/standins_3/record.py
@@ -21,7 +21,9 @@
         return time.monotonic() - self._started_at
 
     def line(self, text):
-        """Write a line."""
+        """Write a line, unless the run has ended."""
+        if self._file.closed:
+            return
         self._file.write(f"{self.now():8.3f} {text}\n")
         self._file.flush()
 
--- a/review/standins_3/servers.py
+++ b/review/standins_3/servers.py
@@ -5,7 +5,7 @@
 import itertools
 import json
 
-from .wire import encode_answer, encode_json, read_request
+from .wire import encode_answer, encode_json, read_request, reset
 
 HEARTBEAT_S = 1.2
 # Times of a model server.
@@ -73,7 +73,7 @@
         for task in self._tasks:
             task.cancel()
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     def entry(self):
         """Return its entry in the list of servers."""
@@ -183,6 +183,9 @@
         Its state in that group.
     was_ready : set
         Group, epoch and members of all groups in which it has been ready.
+    repeats_next : bool
+        Whether it sends a second copy of the next answer that it completes, late: in front of
+        the next answer on the same channel.
     """
 
     def __init__(self, store, record, name, service, fleet, broken_rules, event_s=0.05, slots=2):
@@ -193,6 +196,8 @@
         self.membership = None
         self.group_state = ""
         self.was_ready = set()
+        self.repeats_next = False
+        self._late_copies = {}
         self._epoch = 0
         self._model = None
         self._staged = None
@@ -229,6 +234,12 @@
     async def handle(self, request, writer):
         """Answer a report, an order or a request."""
         _, target, headers, body = request
+        late_copy = self._late_copies.pop(writer, None)
+        if late_copy is not None:
+            self.record.line(
+                f"{self.name} sends a second copy of an answer before that to {target}"
+            )
+            writer.write(late_copy)
         if target == "/report":
             entry = self.entry()
             report = {
@@ -383,17 +394,23 @@
                 ("X-Briarpond-Server-Stamp", f"{self.name}.{request_id}"),
                 *self.common_headers(headers),
             ]
-            head = "".join(f"{name}: {value}\r\n" for name, value in fields)
-            writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+            lines = "".join(f"{name}: {value}\r\n" for name, value in fields)
+            answer = f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode()
+            writer.write(answer)
             for number in range(int(headers.get("last-event-id", 0)) + 1, count + 1):
                 if not await self._step(key) or writer.is_closing():
                     self.record.line(f"{self.name} cuts {request_id} off after {number - 1}")
-                    writer.transport.abort()
+                    reset(writer)
                     return
                 event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
-                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                chunk = b"%x\r\n%b\r\n" % (len(event), event)
+                answer += chunk
+                writer.write(chunk)
             writer.write(b"0\r\n\r\n")
             row[2] = True
+            if self.repeats_next:
+                self.repeats_next = False
+                self._late_copies[writer] = answer + b"0\r\n\r\n"
         finally:
             self.running -= 1
             if self.group_state == "closing" and not self.running:
--- a/review/standins_3/store.py
+++ b/review/standins_3/store.py
@@ -8,7 +8,7 @@
 import struct
 from urllib.parse import parse_qs, urlsplit
 
-from .wire import encode_answer, encode_json, read_request
+from .wire import encode_answer, encode_json, read_request, reset
 
 # Topics that only the operator and the servers write to.
 FOREIGN_TOPICS = ("keyed.op", "keyed.servers")
@@ -215,7 +215,7 @@
                 is_closed = self.is_away or self.rejects_nodes
                 answer = None if is_closed else await self._answer(*request)
                 if answer is None or self.is_away or self.rejects_nodes:
-                    writer.transport.abort()
+                    reset(writer)
                     return
                 writer.write(answer)
         except asyncio.CancelledError:
--- a/review/standins_3/wire.py
+++ b/review/standins_3/wire.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 
 READ_ERRORS = (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError, OSError)
 
@@ -20,6 +22,14 @@
     return method, target, headers, body
 
 
+def reset(writer):
+    """Close a channel with a reset, and not in order."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def parse_headers(lines):
     """Return header values by lower-case name."""
     pairs = (line.split(":", 1) for line in lines if ":" in line)
