--- a/review/standins_3/servers.py
+++ b/review/standins_3/servers.py
@@ -56,6 +56,7 @@
         self.runs = []
         self.running = 0
         self.has_ended = False
+        self.born = 1_700_000_000_000
         self._seq = 0
         self._writers = set()
         self._tasks = set()
@@ -86,7 +87,7 @@
             "state": self.state,
             "coldLeftMs": 0,
             "seq": self._seq,
-            "born": 1_700_000_000_000,
+            "born": self.born,
         }
 
     def report_state(self):
@@ -183,9 +184,9 @@
         Its state in that group.
     was_ready : set
         Group, epoch and members of all groups in which it has been ready.
-    repeats_next : bool
-        Whether it sends a second copy of the next answer that it completes, late: in front of
-        the next answer on the same channel.
+    repeats_report : bool
+        Whether it sends a second copy of its next report, late: in front of the next answer on
+        the same channel.
     """
 
     def __init__(self, store, record, name, service, fleet, broken_rules, event_s=0.05, slots=2):
@@ -196,7 +197,8 @@
         self.membership = None
         self.group_state = ""
         self.was_ready = set()
-        self.repeats_next = False
+        self.repeats_report = False
+        self.load_s, self.warm_s = LOAD_S, WARM_S
         self._late_copies = {}
         self._epoch = 0
         self._model = None
@@ -226,6 +228,15 @@
             entry["group"] = group
         return entry
 
+    async def restart(self):
+        """Start again under the same id and address, with what its host keeps: staged models."""
+        self.has_ended = False
+        self.membership, self.group_state = None, ""
+        self._epoch, self._seq, self._model, self.running = 0, 0, None, 0
+        self.born += 1000
+        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self._spawn(self._beat())
+
     def group_key(self):
         """Return group, epoch and members of its present group; None without one."""
         each = self.membership
@@ -258,7 +269,11 @@
                 "group": entry.get("group"),
                 "born": entry["born"],
             }
-            writer.write(encode_json(200, report))
+            answer = encode_json(200, report)
+            writer.write(answer)
+            if self.repeats_report:
+                self.repeats_report = False
+                self._late_copies[writer] = answer
         elif target == "/order":
             order = json.loads(body)
             status = self._obey(order)
@@ -313,11 +328,11 @@
         self._drop_membership()
         self.membership, self.group_state = order, "joining"
         self._epoch = order["epoch"]
-        seconds = LOAD_S + WARM_S
+        seconds = self.load_s + self.warm_s
         if self._model == order["model"]:
             seconds = REJOIN_S
         elif self._staged == order["model"]:
-            seconds = WARM_S
+            seconds = self.warm_s
         self._model = self._staged = order["model"]
         self._spawn(self._become_ready(order, seconds))
         return 202
@@ -403,14 +418,9 @@
                     reset(writer)
                     return
                 event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
-                chunk = b"%x\r\n%b\r\n" % (len(event), event)
-                answer += chunk
-                writer.write(chunk)
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             writer.write(b"0\r\n\r\n")
             row[2] = True
-            if self.repeats_next:
-                self.repeats_next = False
-                self._late_copies[writer] = answer + b"0\r\n\r\n"
         finally:
             self.running -= 1
             if self.group_state == "closing" and not self.running:
--- a/review/standins_3/wire.py
+++ b/review/standins_3/wire.py
@@ -24,8 +24,8 @@
 
 def reset(writer):
     """Close a channel with a reset, and not in order."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if not writer.is_closing():
+        sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
