--- a/review/12/case.py
+++ b/review/12/case.py
@@ -23,7 +23,7 @@
 NODES = 3
 DOMAINS = 2
 DOMAIN_SERVERS = 10
-ADDED_SERVERS = 6
+ADDED_SERVERS = 5
 SLOTS = 2
 START_PAUSE_S = 0.1
 AWAY_S = 0.6
