Gateway: the era of the store is logged, and refusals name position and confirmer

The record of the incident shows a version and its age, but not which state of the store it belongs to or who told the node that it is the newest, so that a restored store, an outdated answer and a node that confirms what it knows to be outdated look alike.

The line of a request that isn't forwarded has config_era, config_position and confirmed_by. The feed moves to a module of its own; no decision changes.

--- a/briarpond/directory/_sync.py
+++ b/briarpond/directory/_sync.py
@@ -72,7 +72,8 @@
         Takes the status of the plan as another node stated it, and the time at which it
         was true. Called after new rows of the plan were applied, too.
     on_config : callable
-        Takes the status of another node's configuration and the time at which it was true.
+        Takes the status of another node's configuration, the time at which it was true, and the
+        host of that node.
     on_config_version : callable
         Takes the version of another node's configuration, and the host of that node.
     on_config_position : callable
@@ -98,7 +99,7 @@
     plan_status: Callable[[float], PlanStatus | None]
     config_status: Callable[[float], ConfigStatus | None]
     on_plan: Callable[[PlanStatus, float], None]
-    on_config: Callable[[ConfigStatus, float], None]
+    on_config: Callable[[ConfigStatus, float, str], None]
     on_config_version: Callable[[int, str], None]
     on_load: Callable[[str, Load], None]
     on_stalled: Callable[[tuple[InstanceId, ...]], None]
@@ -257,7 +258,8 @@
         self._learn_plan(answer.plan, answer.delta, pending.sent_at)
         if answer.config is not None:
             self._learn_config(answer.config.version, answer.config.position, host)
-            self._callbacks.on_config(answer.config, pending.sent_at - answer.config.age_s)
+            newest_at = pending.sent_at - answer.config.age_s
+            self._callbacks.on_config(answer.config, newest_at, host)
         self._report(appeared, [], now)
         return [self._pull(host, now)] if answer.more else []
 
--- a/briarpond/gateway/_config_exchange.py
+++ b/briarpond/gateway/_config_exchange.py
@@ -44,7 +44,7 @@
         Takes the present time; returns the seconds since the configuration in force was
         certainly the newest, None if it is not known.
     on_record : callable
-        Takes a fetched record and the time up to which it was the newest.
+        Takes a fetched record, the time up to which it was the newest, and the host it is from.
     on_fetch_end : callable
         Called after each fetch, also a failed one, when the next may begin.
 
@@ -60,7 +60,7 @@
         client: HttpClient,
         port: int,
         age: Callable[[float], float | None],
-        on_record: Callable[[ConfigRecord, float], None],
+        on_record: Callable[[ConfigRecord, float, str], None],
         on_fetch_end: Callable[[], None] = lambda: None,
     ) -> None:
         self._clock = clock
@@ -118,7 +118,7 @@
             (),
             b"",
             FETCH_TIMEOUT_S,
-            lambda status, body: self._on_answer(now, status, body),
+            lambda status, body: self._on_answer(host, now, status, body),
             self._on_failure,
         )
 
@@ -126,12 +126,12 @@
         """Whether a newer configuration may still arrive from another node."""
         return now - self._wanted_since < PATIENCE_S
 
-    def _on_answer(self, requested_at: float, status: int, body: bytes) -> None:
+    def _on_answer(self, host: str, requested_at: float, status: int, body: bytes) -> None:
         self.is_fetching = False
-        run_guarded("config_record", self._take_answer, requested_at, status, body)
+        run_guarded("config_record", self._take_answer, host, requested_at, status, body)
         self._on_fetch_end()
 
-    def _take_answer(self, requested_at: float, status: int, body: bytes) -> None:
+    def _take_answer(self, host: str, requested_at: float, status: int, body: bytes) -> None:
         if status != 200:
             return
         record = decode_config_record(body)
@@ -144,7 +144,7 @@
             return
         log_event("config_fetched", offset=record.ok.offset, bytes=len(body))
         newest_at = requested_at - record.ok.age_s
-        self._on_record(msgspec.structs.replace(record.ok, value=value), newest_at)
+        self._on_record(msgspec.structs.replace(record.ok, value=value), newest_at, host)
 
     def _on_failure(self, reason: LossReason) -> None:
         self.is_fetching = False
--- a/briarpond/gateway/_config_keeper.py
+++ b/briarpond/gateway/_config_keeper.py
@@ -10,9 +10,11 @@
 from briarpond.routes import GatewayConfiguration, RouteTable
 
 from ._config_exchange import ConfigExchange
+from ._config_origin import ConfigOrigin
 from ._evacuation import evacuated_after, set_evacuated
 from ._state import NodeState
-from ._store_link import READ_WAIT_S, StoreClient, TopicFeed
+from ._store_client import StoreClient
+from ._topic_feed import READ_WAIT_S, TopicFeed
 
 # A node need not read the configuration if a candidate confirmed it within the last
 # CONFIRMATION_LIFETIME_S, and if it was the newest at most CONFIRMED_MAX_AGE_S ago.
@@ -104,6 +106,10 @@
         """
         return self._feed.age(now)
 
+    def origin(self) -> ConfigOrigin:
+        """Return where the records in force come from."""
+        return ConfigOrigin(self._feed.era, self._position, self._feed.confirmed_by)
+
     def status(self, now: float) -> ConfigStatus | None:
         """Return version, age and position of the operator's records; None without a version."""
         config = self._state.config
@@ -116,7 +122,7 @@
         """Answer another node's request for the record of the configuration."""
         self._exchange.answer(request, reply)
 
-    def on_status(self, status: ConfigStatus, newest_at: float) -> None:
+    def on_status(self, status: ConfigStatus, newest_at: float, host: str) -> None:
         """Use what another node knows of the records that are in force here, too.
 
         A status with another position confirms nothing. If its position is newer, records are
@@ -128,7 +134,7 @@
             return
         if status.position is not None and status.position != self._position:
             return
-        self._feed.confirm(newest_at)
+        self._feed.confirm(newest_at, host)
         if now - newest_at < CONFIRMED_MAX_AGE_S:
             self._confirmed_at = now
 
@@ -199,12 +205,12 @@
         is_confirmed = self._clock.now() - self._confirmed_at <= CONFIRMATION_LIFETIME_S
         return 0.0 if is_confirmed else READ_WAIT_S
 
-    def _on_record(self, record: ConfigRecord, newest_at: float) -> None:
+    def _on_record(self, record: ConfigRecord, newest_at: float, host: str) -> None:
         """Use the records of another node, unless they are older than those here."""
         position = record.position
         if position is None or position >= self._position:
             # Without a position, records before that of the configuration may be missing here.
-            self._feed.adopt(position, newest_at)
+            self._feed.adopt(position, newest_at, host)
         if position is not None and position > self._position:
             self._advance(position, record.evacuated, "node")
         self._apply(KeyedRecord(CONFIG_KEY, record.value, record.offset))
--- a/briarpond/gateway/_ingress.py
+++ b/briarpond/gateway/_ingress.py
@@ -242,6 +242,7 @@
             headers = (("Retry-After", f"{refusal.retry_after_s:.3f}"),)
         state.metrics.requests.inc({"kind": "none", "status": str(refusal.status)})
         age = self._config_age(state.clock.now())
+        origin = state.config_origin()
         log_event(
             "request",
             id=request.header(PlatformHeader.REQUEST_ID),
@@ -250,6 +251,9 @@
             reason=refusal.reason,
             config=state.config.version if state.config else 0,
             config_age_ms=-1 if age is None else int(age * 1000),
+            config_era=origin.era,
+            config_position=origin.position,
+            confirmed_by=origin.confirmed_by or "-",
         )
         reply.send_whole(refusal.status, headers, b"")
 
--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -7,7 +7,7 @@
 from briarpond.net import Clock, LossReason
 from briarpond.platform import decode_lease, join_lease_request, leave_lease_request
 
-from ._store_link import StoreClient
+from ._store_client import StoreClient
 
 # How often a candidate renews its membership of the lease group.
 RENEW_INTERVAL_S = 0.3
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -53,7 +53,8 @@
 from ._start_wait import start_wait_s
 from ._state import NodeState
 from ._stopping import Stop
-from ._store_link import READ_MARGIN_S, READ_WAIT_S, StoreClient, TopicFeed
+from ._store_client import StoreClient
+from ._topic_feed import READ_MARGIN_S, READ_WAIT_S, TopicFeed
 
 # Lifetime of a directory answer; the settings may bound it further.
 DIRECTORY_TTL_S = 1.0
@@ -142,6 +143,7 @@
             self._instances_wait_s,
         )
         self.state.list_known_until = lambda: self._instances_feed.known_until
+        self.state.config_origin = self._config.origin
         peer_address = Address(settings.host, settings.peer_port)
         self._peers = PeerLink(
             clock,
--- a/briarpond/gateway/_registry.py
+++ b/briarpond/gateway/_registry.py
@@ -18,7 +18,7 @@
 )
 
 from ._start_wait import SEED_WAIT_S
-from ._store_link import StoreClient
+from ._store_client import StoreClient
 
 # Timeout of a call to the store.
 CALL_TIMEOUT_S = 1.0
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -40,6 +40,7 @@
 from briarpond.routes import EngineSpec, GatewayConfiguration, HostedModel, RouteTable
 
 from ._cold_link import ColdLink, cold_limit
+from ._config_origin import ConfigOrigin
 from ._kept_bytes import KeptBytes
 from ._metrics import GatewayMetrics
 from ._quarantine_link import QuarantineLink
@@ -149,6 +150,8 @@
     list_known_until : callable
         Returns the time up to which this node has followed the instance list without a
         gap; None if it has not read the list.
+    config_origin : callable
+        Returns the origin of the operator's records in force.
     """
 
     def __init__(self, settings: GatewaySettings, clock: Clock, client: HttpClient) -> None:
@@ -178,6 +181,7 @@
         self.planner: NodeId | None = None
         self.node_count = 1
         self.list_known_until: Callable[[], float | None] = lambda: None
+        self.config_origin: Callable[[], ConfigOrigin] = ConfigOrigin
         self._plan_confirmed_at = float("-inf")
         self._plan_list_known_at = float("-inf")
         self._planner_heard_at = float("-inf")
--- a/briarpond/gateway/_store_link.py
+++ b/briarpond/gateway/_topic_feed.py
@@ -1,21 +1,23 @@
-"""Calls to the platform's store, and feeds that follow its topics."""
+"""Feeds that follow topics of the platform's store."""
 
 from collections.abc import Callable, Sequence
 from enum import Enum
 from functools import partial
 
 from briarpond.logs import log_event, log_warning
-from briarpond.net import Address, Clock, HttpClient, LossReason, run_guarded
+from briarpond.net import Clock, LossReason, run_guarded
 from briarpond.platform import (
     KeyedRecord,
     RecordsPage,
-    StoreRequest,
     decode_newest,
     decode_records,
     newest_records_request,
     read_records_request,
 )
 
+from ._config_origin import STORE_SOURCE
+from ._store_client import StoreClient
+
 # Timeout of a call that the store answers at once.
 CALL_TIMEOUT_S = 1.0
 # Default time for which the store holds back a read until a record arrives (long polling).
@@ -29,53 +31,6 @@
 RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 1.0
 
-OnAnswer = Callable[[int, bytes], None]
-OnLost = Callable[[LossReason], None]
-
-
-class StoreClient:
-    """Client of the store, shared by the whole process.
-
-    Attributes
-    ----------
-    calls : int
-        Number of calls sent.
-    """
-
-    def __init__(self, address: Address, client: HttpClient) -> None:
-        self._address = address
-        self._client = client
-        self.calls = 0
-
-    def call(
-        self, request: StoreRequest, timeout_s: float, on_answer: OnAnswer, on_lost: OnLost
-    ) -> None:
-        """Send a request; afterwards exactly one of the two functions is called.
-
-        Parameters
-        ----------
-        request : StoreRequest
-            The HTTP request.
-        timeout_s : float
-            Time within which the whole answer must arrive.
-        on_answer : callable
-            Takes the status and the body of the answer.
-        on_lost : callable
-            Takes the reason why there is no answer.
-        """
-        self.calls += 1
-        headers = (("Content-Type", "application/octet-stream"),) if request.body else ()
-        self._client.fetch(
-            self._address,
-            request.method,
-            request.target,
-            headers,
-            request.body,
-            timeout_s,
-            on_answer,
-            on_lost,
-        )
-
 
 class _FeedState(Enum):
     """Whether a feed reads the newest record of each key, or the records that follow."""
@@ -120,6 +75,10 @@
         the first one after those that are passed on.
     known_until : float or None
         Time up to which all changes of the topic are known; None before the first snapshot.
+    confirmed_by : str
+        Who told that time: `STORE_SOURCE`, or the source given to `confirm` or `adopt`.
+    era : int
+        Era of the store that `offset` belongs to; 0 if it is not known.
     """
 
     def __init__(
@@ -136,6 +95,8 @@
         reached: Callable[[], int] = lambda: 0,
     ) -> None:
         self.known_until: float | None = None
+        self.confirmed_by = ""
+        self.era = 0
         self._store = store
         self._clock = clock
         self._topic = topic
@@ -167,16 +128,17 @@
         """Return the seconds in which changes may have been missed; None before a snapshot."""
         return None if self.known_until is None else now - self.known_until
 
-    def confirm(self, at: float) -> None:
+    def confirm(self, at: float, source: str) -> None:
         """Record that no change of the topic up to the time `at` is missing."""
-        if self.known_until is not None:
-            self.known_until = max(self.known_until, at)
+        if self.known_until is not None and at > self.known_until:
+            self.known_until = at
+            self.confirmed_by = source
 
     def read_whole(self) -> None:
         """Read the newest record of each key anew, because records are missing."""
         self._begin_snapshot()
 
-    def adopt(self, offset: int | None, known_until: float) -> None:
+    def adopt(self, offset: int | None, known_until: float, source: str) -> None:
         """Take over a state of the topic that another node has read.
 
         Parameters
@@ -186,6 +148,8 @@
             known; the topic is then read on from where this feed is.
         known_until : float
             Time up to which the other node knew all changes.
+        source : str
+            The other node.
         """
         if self._state is _FeedState.SNAPSHOT and self._snapshot_end is not None:
             # The pages that are being read may be newer.
@@ -195,7 +159,8 @@
             self.offset = max(self.offset, offset)
         if self.known_until is None:
             self.known_until = known_until
-        self.confirm(known_until)
+            self.confirmed_by = source
+        self.confirm(known_until, source)
 
     def _send_read(self) -> None:
         """Send the next read; every answer, loss and error leads back to here."""
@@ -220,6 +185,7 @@
     def _on_answer(self, handle: Callable[[int, bytes], None], status: int, body: bytes) -> None:
         """Handle an answer, and plan the next read whatever comes of it."""
         self._next_delay_s = 0.0
+        self.era = self._store.era
         known_until = self.known_until
         if not run_guarded("feed", handle, status, body):
             # Records may be missing from what was applied, so the whole list is read again.
@@ -260,6 +226,7 @@
         self._state = _FeedState.TAIL
         if end_offset >= self._reached() or self.known_until is None:
             self.known_until = self._snapshot_began_at
+            self.confirmed_by = STORE_SOURCE
         self._on_snapshot(entries)
 
     def _on_records(self, status: int, body: bytes) -> None:
@@ -301,7 +268,7 @@
         if page.end_offset < self._reached():
             self._next_delay_s = max(self._next_delay_s, RETRY_DELAY_S)
         else:
-            self.confirm(confirmed_until)
+            self.confirm(confirmed_until, STORE_SOURCE)
 
     def _on_success(self) -> None:
         if self._failures:
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -372,6 +372,7 @@
         timeout_s: float,
         on_answer: Callable[[int, bytes], None],
         on_failure: Callable[[LossReason], None],
+        on_headers: Callable[[Headers], None] = lambda headers: None,
     ) -> Exchange | UnsendableCall:
         """Send a request whose small answer is collected in memory.
 
@@ -389,14 +390,17 @@
             Called with status and body of the complete answer.
         on_failure : callable
             Called with the reason if there is no complete answer in time.
+        on_headers : callable
+            Called with the headers of the answer, before one of the other two.
         """
         answer_body = bytearray()
         status = 0
         timer: Timer | None = None
 
-        def on_head(code: int, _headers: Headers) -> None:
+        def on_head(code: int, answer_headers: Headers) -> None:
             nonlocal status
             status = code
+            on_headers(answer_headers)
 
         def on_body(data: bytes) -> None:
             answer_body.extend(data)
--- a/briarpond/platform/__init__.py
+++ b/briarpond/platform/__init__.py
@@ -16,6 +16,7 @@
     parse_prompt_part,
     parse_prompt_parts,
     parse_server_load,
+    parse_store_era,
     parse_token_counts,
 )
 from ._instances import decode_instance
@@ -103,6 +104,7 @@
     "parse_prompt_part",
     "parse_prompt_parts",
     "parse_server_load",
+    "parse_store_era",
     "parse_token_counts",
     "newest_records_request",
     "read_records_request",
--- a/briarpond/platform/_headers.py
+++ b/briarpond/platform/_headers.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from briarpond.ids import PromptPart
-from briarpond.net import parse_count
+from briarpond.net import Headers, find_header, parse_count
 
 
 class PlatformHeader:
@@ -46,6 +46,8 @@
     FAILED_SERVER : str
         Server that made the request fail, which may be a member of the group other
         than the head that answers.
+    STORE_ERA : str
+        Era of the store, see `parse_store_era`.
     """
 
     REQUEST_ID = "x-briarpond-request-id"
@@ -63,6 +65,7 @@
     LAST_EVENT_ID = "last-event-id"
     AUTHORIZATION = "authorization"
     FAILED_SERVER = "at-server"
+    STORE_ERA = "store-era"
 
 
 # Headers that apply to one connection (hop-by-hop, RFC 9110) and are not forwarded.
@@ -85,6 +88,8 @@
 _BEARER_PREFIX = "bearer "
 # Larger counts of requests or tokens are read as this.
 MAX_COUNT = 10_000_000
+# Largest era of the store that is told apart: epochs that begin with it fit into 63 bits.
+MAX_STORE_ERA = 800_000
 # Greatest value of the header with the priority.
 LAST_PRIORITY = 9
 # Bytes of the digest that stands for a long id of a part. Two ids with the same digest would be
@@ -152,6 +157,11 @@
     return known if counts and len(known) == len(counts) else None
 
 
+def parse_store_era(headers: Headers) -> int | None:
+    """Return the era that an answer of the store names, at most `MAX_STORE_ERA`; None if none."""
+    return parse_count(find_header(headers, PlatformHeader.STORE_ERA), MAX_STORE_ERA)
+
+
 def parse_prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
     """Parse a header value of comma-separated entries ``id:tokens``, ids in hexadecimal.
 
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -288,7 +288,7 @@
         plan_status=lambda now: None,
         config_status=lambda now: None,
         on_plan=lambda status, at: None,
-        on_config=lambda status, at: None,
+        on_config=lambda status, at, host: None,
         on_config_version=lambda version, host: None,
         on_load=on_load,
         on_stalled=lambda servers: None,
@@ -366,7 +366,7 @@
     sync._callbacks = msgspec.structs.replace(
         sync._callbacks,
         config_status=lambda now: status,
-        on_config=lambda status, at: heard.append(status),
+        on_config=lambda status, at, host: heard.append(status),
         on_config_version=lambda version, host: heard.append((version, host)),
         on_config_position=lambda position, host: heard.append((position, host)),
     )
--- a/tests/directory/world.py
+++ b/tests/directory/world.py
@@ -73,7 +73,7 @@
             plan_status=self._plan_status,
             config_status=lambda now: None,
             on_plan=self._on_plan,
-            on_config=lambda status, at: None,
+            on_config=lambda status, at, host: None,
             on_config_version=lambda version, host: None,
             on_load=lambda source, load: None,
             on_stalled=self.stalled.update,
--- a/tests/gateway/operator_log.py
+++ b/tests/gateway/operator_log.py
@@ -26,6 +26,8 @@
         Whether each call is rejected.
     calls : int
         Calls so far.
+    era : int
+        Era that the answers name.
     """
 
     def __init__(self, clock):
@@ -34,6 +36,7 @@
         self.visible = None
         self.rejecting = False
         self.calls = 0
+        self.era = 0
         self._is_compacted = False
         self._first_kept = 0
 
--- a/tests/gateway/test_config_exchange.py
+++ b/tests/gateway/test_config_exchange.py
@@ -54,7 +54,8 @@
     exchange.fetch(7, "10.0.0.2")
     exchange.clock.time += 0.1
     exchange.client.fetches[0][2](200, body)
-    record, newest_at = exchange.received[0]
+    record, newest_at, host = exchange.received[0]
+    assert host == "10.0.0.2"
     assert (record.offset, record.value) == (12, RECORD)
     assert newest_at == pytest.approx(requested_at - 0.25)
 
@@ -124,5 +125,5 @@
     exchange.set_position(15, frozenset({"a"}))
     exchange.fetch(7, "10.0.0.2")
     exchange.client.fetches[0][2](200, answer_of(exchange).body)
-    record, _ = exchange.received[0]
+    record, *_ = exchange.received[0]
     assert (record.offset, record.position, record.evacuated) == (12, 15, frozenset({"a"}))
--- a/tests/gateway/test_config_keeper.py
+++ b/tests/gateway/test_config_keeper.py
@@ -18,10 +18,14 @@
 from .test_config_exchange import FetchingClient
 from .world import VirtualClock
 
+RELAY = "10.0.0.2"
+
 
 class CountingStore:
     """Counts the calls, which are never answered."""
 
+    era = 0
+
     def __init__(self):
         self.calls = 0
 
@@ -65,7 +69,7 @@
         """Let relays confirm a version for a while, four times a second."""
         for _ in range(int(seconds * 4)):
             self.clock.advance(0.25)
-            self.keeper.on_status(ConfigStatus(version, 0.1), self.clock.now() - 0.1)
+            self.keeper.on_status(ConfigStatus(version, 0.1), self.clock.now() - 0.1, RELAY)
 
 
 @pytest.fixture
@@ -118,14 +122,15 @@
     """Another node may still offer what was in force before."""
     world.deliver(9)
     world.deliver(8)
-    world.keeper._on_record(ConfigRecord(8, 0.0, config_bytes(version=8)), world.clock.now())
+    record = ConfigRecord(8, 0.0, config_bytes(version=8))
+    world.keeper._on_record(record, world.clock.now(), RELAY)
     assert world.state.config.version == 9 and world.applied == [9]
 
 
 def test_confirmation_of_another_version_does_not_count(world):
     world.deliver(9)
     world.clock.advance(1.0)
-    world.keeper.on_status(ConfigStatus(8, 0.0), world.clock.now())
+    world.keeper.on_status(ConfigStatus(8, 0.0), world.clock.now(), RELAY)
     assert world.keeper.age(world.clock.now()) == pytest.approx(1.1)
 
 
@@ -139,7 +144,8 @@
     """Let relays that the store rejects repeat the last confirmation that they got."""
     while world.clock.now() - newest_at < until_age_s - 0.1:
         world.clock.advance(0.1)
-        world.keeper.on_status(ConfigStatus(version, world.clock.now() - newest_at), newest_at)
+        status = ConfigStatus(version, world.clock.now() - newest_at)
+        world.keeper.on_status(status, newest_at, RELAY)
 
 
 def test_announced_version_does_not_delay_the_read_of_outdated_records(world):
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -90,7 +90,7 @@
         keeper.on_version(status.version, other)
         if status.position is not None:
             keeper.on_position(status.position, other)
-        keeper.on_status(status, now - status.age_s)
+        keeper.on_status(status, now - status.age_s, other)
 
     def run(self, seconds, *pulls):
         """Let time pass; each pair of hosts in `pulls` pulls within its interval."""
@@ -257,7 +257,7 @@
     state = world.start("a", is_candidate=False)
     world.clock.advance(0.1)
     record = ConfigRecord(0, 0.0, config_bytes(version=7), 4, frozenset())
-    world.keepers["a"]._on_record(record, world.clock.now())
+    world.keepers["a"]._on_record(record, world.clock.now(), "b")
     world.log.evacuate("north")
     world.log.cancel("north")
     world.log.append("other", b"1")
@@ -338,7 +338,7 @@
     world.run(0.8, ("a", "b"))
     assert state.evacuated == {"north"} and world.states["b"].evacuated == frozenset()
     outdated = ConfigRecord(0, 0.0, config_bytes(version=7), 1, frozenset())
-    world.keepers["a"]._on_record(outdated, world.clock.now())
+    world.keepers["a"]._on_record(outdated, world.clock.now(), "b")
     assert state.evacuated == {"north"}
 
 
@@ -350,13 +350,13 @@
     world.start("a", is_candidate=False, log=rejecting_log(world))
     keeper = world.keepers["a"]
     record = ConfigRecord(0, 0.0, config_bytes(version=7), 5, frozenset())
-    keeper._on_record(record, world.clock.now())
+    keeper._on_record(record, world.clock.now(), "b")
     world.clock.advance(1.0)
     now = world.clock.now()
     for position in (4, 6):
-        keeper.on_status(ConfigStatus(7, 0.0, position), now)
+        keeper.on_status(ConfigStatus(7, 0.0, position), now, "b")
         assert keeper.age(now) == pytest.approx(1.0)
-    keeper.on_status(ConfigStatus(7, 0.0, 5), now)
+    keeper.on_status(ConfigStatus(7, 0.0, 5), now, "b")
     assert keeper.age(now) == pytest.approx(0.0)
 
 
@@ -364,9 +364,9 @@
     """Guards against nodes of an earlier release that no longer confirm anything."""
     world.start("a", is_candidate=False, log=rejecting_log(world))
     keeper = world.keepers["a"]
-    keeper._on_record(ConfigRecord(0, 0.0, config_bytes(version=7)), world.clock.now())
+    keeper._on_record(ConfigRecord(0, 0.0, config_bytes(version=7)), world.clock.now(), "b")
     world.clock.advance(1.0)
-    keeper.on_status(ConfigStatus(7, 0.0), world.clock.now())
+    keeper.on_status(ConfigStatus(7, 0.0), world.clock.now(), "b")
     assert keeper.age(world.clock.now()) == pytest.approx(0.0)
     assert keeper.status(world.clock.now()).position is None
 
@@ -376,7 +376,8 @@
     world.log.evacuate("north")
     world.log.append("config", config_bytes(version=8))
     state = world.start("a", is_candidate=False)
-    world.keepers["a"]._on_record(ConfigRecord(2, 0.0, config_bytes(version=8)), world.clock.now())
+    record = ConfigRecord(2, 0.0, config_bytes(version=8))
+    world.keepers["a"]._on_record(record, world.clock.now(), "b")
     world.clock.advance(BOUND_S)
     assert state.config.version == 8 and state.evacuated == {"north"}
 
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -7,7 +7,7 @@
 from briarpond.directory import RELAY_INTERVAL_S
 from briarpond.gateway._node import PLANNER_READ_PAUSE_S, PLANNER_READ_WAIT_S
 from briarpond.gateway._state import plan_lifetime_s
-from briarpond.gateway._store_link import IDLE_CHECK_INTERVAL_S, TopicFeed
+from briarpond.gateway._topic_feed import IDLE_CHECK_INTERVAL_S, TopicFeed
 
 from .world import VirtualClock
 
@@ -15,6 +15,8 @@
 class ScriptedStore:
     """Store with an empty snapshot, whose later reads the test answers through `on_answer`."""
 
+    era = 0
+
     def __init__(self) -> None:
         self.on_answer = None
 
@@ -189,6 +191,8 @@
 class PagedStore:
     """Store whose snapshot has two pages, which the test answers one by one."""
 
+    era = 0
+
     def __init__(self):
         self.on_answer = None
 
--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -16,6 +16,8 @@
 class LeaseStore:
     """Answers calls to join at once, or not at all while it is down."""
 
+    era = 0
+
     def __init__(self):
         self.is_down = False
         self.term = 1
