The term of the planner's lease has the era of the store

Cause: the store's generation falls when it comes back from a copy. The term was the highest one ever seen, so two holders one after the other had the same, and names and epochs of groups follow from it.

A member names a generation only to the era that gave it.

Evidence: test_term_rises_although_the_generation_falls failed before.

--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -7,6 +7,7 @@
 from briarpond.net import Clock, LossReason
 from briarpond.platform import decode_lease, join_lease_request, leave_lease_request
 
+from ._lease_term import lease_term
 from ._store_client import StoreClient
 
 # How often a candidate renews its membership of the lease group.
@@ -47,8 +48,8 @@
     Attributes
     ----------
     term : int
-        Highest number of the lease that the store reported; it rises with each change of
-        the holder.
+        Highest term of the lease that follows from the store's answers; it rises with each
+        change of the holder.
     held_since : float
         Time at which this node last became the holder; infinite if it never did.
     """
@@ -72,6 +73,9 @@
         self._has_expired = False
         self._is_preparing = False
         self._unanswered_calls = 0
+        # Last generation that the store reported, and the era that it belongs to.
+        self._generation = 0
+        self._era = 0
         self._store = store
         self._clock = clock
         # The start time makes a restarted process a new member, which gets a new term.
@@ -120,7 +124,7 @@
         if not self._is_applying:
             return
         requested_at = self._clock.now()
-        request = join_lease_request(self._member, self._ttl_s, self.term)
+        request = join_lease_request(self._member, self._ttl_s, self._known_generation())
         self._store.call(
             request,
             CALL_TIMEOUT_S,
@@ -149,6 +153,10 @@
         self._is_preparing = False
         return True
 
+    def _known_generation(self) -> int:
+        """Return the last generation of the present era; 0 if none is known."""
+        return self._generation if self._era == self._store.era else 0
+
     def _on_answer(self, requested_at: float, status: int, body: bytes) -> None:
         answer = decode_lease(body) if status == 200 else None
         if answer is None or answer.is_error():
@@ -157,11 +165,12 @@
             return
         self._unanswered_calls = 0
         held_before = self.holds(self._clock.now())
-        if answer.ok.term != self.term:
-            log_event(
-                "lease_term", term=answer.ok.term, parts=answer.ok.partition_count, known=self.term
-            )
-        self.term = max(self.term, answer.ok.term)
+        self._era = self._store.era
+        self._generation = answer.ok.generation
+        term = lease_term(self._era, self._generation)
+        if term != self.term:
+            log_event("lease_term", term=term, parts=answer.ok.partition_count, known=self.term)
+        self.term = max(self.term, term)
         self._holds = answer.ok.holds_lease
         self._renewed_at = requested_at
         if self._holds and not held_before:
--- a/briarpond/platform/_store.py
+++ b/briarpond/platform/_store.py
@@ -104,7 +104,7 @@
 
     Attributes
     ----------
-    term : int
+    generation : int
         Number that the store raises at each change of the group's members.
     holds_lease : bool
         Whether this member holds the planner's lease.
@@ -112,7 +112,7 @@
         Number of partitions that are assigned to this member.
     """
 
-    term: int
+    generation: int
     holds_lease: bool
     partition_count: int
 
@@ -171,7 +171,7 @@
     return DataCentre(name) if name and name != key else None
 
 
-def join_lease_request(member: str, ttl_s: float, term: int) -> StoreRequest:
+def join_lease_request(member: str, ttl_s: float, generation: int) -> StoreRequest:
     """Build the request to join the planner's lease group or to renew the membership.
 
     Parameters
@@ -180,15 +180,15 @@
         Name of this node as a member of the group.
     ttl_s : float
         Seconds after which the store removes the member unless it renews.
-    term : int
-        Last term that this member has seen.
+    generation : int
+        Last generation that this member has seen; 0 without one.
     """
     body = {
         "group": PLANNER_LEASE_GROUP,
         "member": member,
         "topics": [PLANNER_LEASE_TOPIC],
         "ttlMs": int(ttl_s * 1000),
-        "generation": term,
+        "generation": generation,
     }
     return StoreRequest("POST", "/log-join", msgspec.json.encode(body))
 
@@ -215,7 +215,6 @@
 
 
 class _LeaseGroupAnswer(msgspec.Struct):
-    # The term.
     generation: int
     # Partitions assigned to this member; the second item is the partition's number.
     parts: list[tuple[str, int, int]] = []
--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -5,6 +5,8 @@
 On the large site this left 6 of 30 seconds without repairs while servers crashed.
 """
 
+import json
+
 import msgspec
 import pytest
 
@@ -21,6 +23,7 @@
     def __init__(self):
         self.is_down = False
         self.term = 1
+        self.generations_sent = []
         self.holds = True
         self.joins = 0
 
@@ -28,6 +31,7 @@
         if self.is_down:
             return
         self.joins += 1
+        self.generations_sent.append(json.loads(request.body)["generation"])
         parts = [("planner", 0, 0)] if self.holds else []
         on_answer(200, msgspec.json.encode({"generation": self.term, "parts": parts}))
 
@@ -99,3 +103,26 @@
     joins = candidate.store.joins
     candidate.clock.advance(3.0)
     assert candidate.store.joins == joins and not candidate.is_preparing
+
+
+# Guards against two planners, one after the other, that use the same term and with it the same
+# names and epochs of groups: the store came back from a copy from before the members had joined.
+def test_term_rises_although_the_generation_falls(candidate):
+    candidate.store.era, candidate.store.term = 1, 9
+    candidate.clock.advance(2 * RENEW_INTERVAL_S)
+    former = candidate.term
+    candidate.store.era, candidate.store.term = 2, 3
+    candidate.clock.advance(2 * RENEW_INTERVAL_S)
+    assert candidate.term > former and candidate.holds(candidate.clock.now())
+
+
+def test_first_call_in_an_era_names_no_generation_of_another(candidate):
+    candidate.store.term = 9
+    candidate.clock.advance(2 * RENEW_INTERVAL_S)
+    assert candidate.store.generations_sent[-1] == 9
+    # Another call to the store was the first to hear of the era.
+    candidate.store.era, candidate.store.term = 2, 3
+    candidate.clock.advance(RENEW_INTERVAL_S)
+    assert candidate.store.generations_sent[-1] == 0
+    candidate.clock.advance(RENEW_INTERVAL_S)
+    assert candidate.store.generations_sent[-1] == 3
