Take-over waits for a lease of a former era of the store

Cause: a new holder waits 0.3 s if the previous planner isn't heard, since the store grants the lease only when the previous one has expired. A store that has come back from a copy doesn't know of the lease, so it grants another at once.

Change: if the newest plan is of a former era, the holder waits for the lifetime of a lease, whatever the previous planner has said.

--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -52,6 +52,8 @@
         change of the holder.
     held_since : float
         Time at which this node last became the holder; infinite if it never did.
+    ttl_s : float
+        Lifetime of the lease that the node asks for, in seconds.
     """
 
     def __init__(
@@ -80,7 +82,7 @@
         self._clock = clock
         # The start time makes a restarted process a new member, which gets a new term.
         self._member = f"{node}.{int(clock.now() * 1000)}"
-        self._ttl_s = max(ttl_min_s, 3 * RENEW_INTERVAL_S)
+        self.ttl_s = max(ttl_min_s, 3 * RENEW_INTERVAL_S)
         self._renewed_at = float("-inf")
         self._holds = False
         self._stopped = False
@@ -99,7 +101,7 @@
 
     def is_candidate(self, now: float) -> bool:
         """Whether this node applies for the lease and the store answered within its lifetime."""
-        return self._is_applying and now < self._renewed_at + self._ttl_s
+        return self._is_applying and now < self._renewed_at + self.ttl_s
 
     @property
     def is_preparing(self) -> bool:
@@ -108,7 +110,7 @@
 
     def holds(self, now: float) -> bool:
         """Whether this node holds an unexpired lease."""
-        return self._holds and now < self._renewed_at + self._ttl_s - EXPIRY_MARGIN_S
+        return self._holds and now < self._renewed_at + self.ttl_s - EXPIRY_MARGIN_S
 
     def expired_while_held(self, now: float) -> bool:
         """Whether this node held the lease at the store's last answer and it has expired since."""
@@ -124,7 +126,7 @@
         if not self._is_applying:
             return
         requested_at = self._clock.now()
-        request = join_lease_request(self._member, self._ttl_s, self._known_generation())
+        request = join_lease_request(self._member, self.ttl_s, self._known_generation())
         self._store.call(
             request,
             CALL_TIMEOUT_S,
@@ -134,7 +136,7 @@
 
     def _end_expired_membership(self, now: float) -> None:
         """Stop applying once the store has dropped this member, so far as it can be known."""
-        expires_at = self._renewed_at + self._ttl_s + CALL_TIMEOUT_S
+        expires_at = self._renewed_at + self.ttl_s + CALL_TIMEOUT_S
         if not self._is_applying or self._renewed_at == float("-inf") or now < expires_at:
             return
         if self._holds and not self._is_superseded():
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -23,6 +23,7 @@
 
 from ._evacuation import without_evacuated
 from ._lease import PlannerLease
+from ._lease_term import era_of_term
 from ._peers import PeerLink
 from ._state import NodeState
 
@@ -200,6 +201,9 @@
 
     def _previous_planner_stopped_at(self, lease_since: float, now: float) -> float:
         """Return the time from which the previous planner certainly does not act any more."""
+        if self._plan_is_of_former_era():
+            # The store has forgotten the lease that it had granted, and did not wait for its end.
+            return lease_since + max(self._lease.ttl_s, TAKE_OVER_DELAY_S)
         previous = self._state.planner
         members = self._peers.sync.members
         ended_at = None if previous is None else members.planning_ended_at(previous)
@@ -209,6 +213,11 @@
             return lease_since + TAKE_OVER_DELAY_S
         return lease_since + TAKE_OVER_DELAY_IF_SILENT_S
 
+    def _plan_is_of_former_era(self) -> bool:
+        """Whether the store has come back from a copy since the newest known plan."""
+        plan = self._state.plan
+        return plan is not None and era_of_term(plan.term) < era_of_term(self._lease.term)
+
     @property
     def taking_over(self) -> bool:
         """Whether this node holds the lease but does not plan yet."""
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -7,6 +7,7 @@
 
 from briarpond.directory import Plan, PlanLog, RoutingTargets
 from briarpond.fleet import FleetView
+from briarpond.gateway._lease_term import lease_term
 from briarpond.gateway._planner_link import PlannerRunner
 from briarpond.platform import decode_configuration, decode_instance
 from briarpond.platform._settings import ColdBound
@@ -23,7 +24,11 @@
     now = gateway.clock.now()
     state.fleet.put(make_instance("i-1"), now)
     lease = SimpleNamespace(
-        term=7, held_since=now, holds=lambda now: True, expired_while_held=lambda now: False
+        term=7,
+        held_since=now,
+        ttl_s=1.5,
+        holds=lambda now: True,
+        expired_while_held=lambda now: False,
     )
     gateway.members = SimpleNamespace(
         planning_ended_at=lambda node: None, no_node_reaches_store=lambda now: False
@@ -273,3 +278,21 @@
     step_after(node, 0.2)
     changed = gateway.announced[-1].servers
     assert [(each.instance, each.cold) for each in changed] == [("p0", False)]
+
+
+# Guards against two planners at a time after a restoration of the store: the store grants the lease
+# anew although the one that it granted before the copy's end has not expired.
+def test_take_over_waits_for_a_lease_that_the_restored_store_does_not_know(node):
+    gateway, runner = node
+    gateway.state.accept_plan(Plan(lease_term(1, 7), 1, True, RoutingTargets()), 0.0)
+    runner._lease.term = lease_term(2, 3)
+    gateway.members.planning_ended_at = lambda node: gateway.clock.now()
+    assert not step_after(node, 1.4)
+    assert step_after(node, 0.2)
+
+
+def test_take_over_within_an_era_does_not_wait_for_the_lifetime_of_the_lease(node):
+    gateway, runner = node
+    gateway.state.accept_plan(Plan(lease_term(2, 2), 1, True, RoutingTargets()), 0.0)
+    runner._lease.term = lease_term(2, 3)
+    assert step_after(node, 0.4)
