A node registers again after a restoration of the store

What callers see: after a later restart nodes that know nobody don't find the others, so parts of the system plan apart.

Cause: what the system has written since the copy is gone, and nobody writes it again for it. A registered node never registered a second time.

Change: after a restoration a node that had registered, or was about to, does so again and repeats it until it succeeds.

--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -347,8 +347,9 @@
         self.state.on_store_regained(failure_age_s, self._clock.now())
 
     def _on_store_restored(self) -> None:
-        """Wait for what is written again: entries that the store's copy doesn't have are kept."""
+        """Wait for what servers write again, and write again what this node has written."""
         self.state.fleet.outage_ended(self._clock.now())
+        self._registry.on_store_restored()
 
     # Nodes
 
--- a/briarpond/gateway/_registry.py
+++ b/briarpond/gateway/_registry.py
@@ -87,6 +87,8 @@
         self._is_candidate = is_candidate
         self._left = False
         self._registered = False
+        # Whether what was registered may be missing in the store.
+        self._must_repeat = False
         self._busy = False
         self._next_read_at = 0.0
 
@@ -96,6 +98,10 @@
         delay = SEED_WAIT_S if self._settings.seed_hosts else 0.0
         self._clock.after(delay, lambda: self._clock.every(CHECK_INTERVAL_S, self._check))
 
+    def on_store_restored(self) -> None:
+        """Register again: the copy from which the store has come back may be from before."""
+        self._must_repeat = self._registered or self._busy
+
     def leave(self) -> None:
         """Remove this node from the list; stop registering and reading."""
         self._left = True
@@ -114,13 +120,15 @@
         if self._busy or self._left:
             return
         isolated = not self._is_connected()
-        if not self._registered and (isolated or self._is_candidate()):
+        must_register = not self._registered and (isolated or self._is_candidate())
+        if must_register or self._must_repeat:
             self._register()
         elif isolated or (self._is_candidate() and self._clock.now() >= self._next_read_at):
             self._read(None)
 
     def _register(self) -> None:
         self._busy = True
+        self._must_repeat = False
         value = msgspec.json.encode(NodeRecord(self._settings.host))
         request = append_record_request(NODES_TOPIC, self._settings.node, value)
         self._store.call(request, CALL_TIMEOUT_S, self._on_registered, self._on_register_failed)
@@ -131,10 +139,14 @@
             log_event("node_registered", node=self._settings.node)
             self._read(None)
         else:
-            self._retry_later()
+            self._repeat_later()
 
     def _on_register_failed(self, reason: LossReason) -> None:
         log_warning("node_not_registered", reason=reason.value)
+        self._repeat_later()
+
+    def _repeat_later(self) -> None:
+        self._must_repeat = self._must_repeat or self._registered
         self._retry_later()
 
     def _read(self, after: str | None) -> None:
--- a/tests/gateway/test_instance_list.py
+++ b/tests/gateway/test_instance_list.py
@@ -59,6 +59,7 @@
     fleet.replace_all([make_instance("i-1")], NOW)
     node = SimpleNamespace(state=SimpleNamespace(fleet=fleet), _clock=SimpleNamespace())
     node._clock.now = lambda: NOW + 1
+    node._registry = SimpleNamespace(on_store_restored=lambda: None)
     Node._on_store_restored(node)
     assert not fleet.is_complete(NOW + 1)
     fleet.replace_all([], NOW + 1.1)
