Evacuations outlast a restoration of the store that has lost them

What callers see: requests at servers of an evacuated data centre, from the return of the store until the operator has written the order again.

Cause: a list of the newest records replaces the whole set, since in a compacted log a cancelled order has no record. After a restoration a missing order may as well be one that was lost.

Only listed orders are told to other nodes, so that a kept one can't come back after its cancellation.

Evidence: test_evacuation_outlasts_a_restoration_that_has_lost_it failed before; the node let go of the order with the first list.

--- a/briarpond/gateway/_config_keeper.py
+++ b/briarpond/gateway/_config_keeper.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Sequence
 
 from briarpond.directory import ConfigRecord, ConfigStatus, StorePosition
-from briarpond.ids import DataCentre
 from briarpond.logs import log_event, log_warning
 from briarpond.net import HttpReply, HttpRequest
 from briarpond.platform import CONFIG_KEY, CONFIG_TOPIC, KeyedRecord, decode_configuration
@@ -11,7 +10,8 @@
 
 from ._config_exchange import UNKNOWN_POSITION, ConfigExchange
 from ._config_origin import ConfigOrigin
-from ._evacuation import evacuated_after, set_evacuated
+from ._evacuation import set_evacuated
+from ._evacuation_orders import RESTORE_GRACE_S, EvacuationOrders
 from ._state import NodeState
 from ._store_client import StoreClient
 from ._topic_feed import READ_WAIT_S, TopicFeed
@@ -72,6 +72,7 @@
         self._newest_version = 0
         self._position = UNKNOWN_POSITION
         self._newest_position = UNKNOWN_POSITION
+        self._evacuations = EvacuationOrders()
         self._feed = TopicFeed(
             store,
             state.clock,
@@ -215,7 +216,9 @@
             # Without a position, records before that of the configuration may be missing here.
             self._feed.adopt(position, newest_at, host)
         if position is not None and position > self._position:
-            self._advance(position, record.evacuated, "node")
+            self._begin_era_of(position)
+            self._evacuations.replace(record.evacuated)
+            self._advance(position, "node")
         self._apply(KeyedRecord(CONFIG_KEY, record.value, record.offset))
 
     def _on_list(self, entries: Sequence[KeyedRecord]) -> None:
@@ -224,7 +227,10 @@
         if end < self._position:
             self._log_outdated(end)
             return
-        self._advance(end, evacuated_after(frozenset(), entries), "store")
+        self._begin_era_of(end)
+        self._evacuations.replace(frozenset())
+        self._evacuations.apply(entries)
+        self._advance(end, "store")
         self._apply_configurations(entries)
 
     def _on_entries(self, entries: Sequence[KeyedRecord]) -> None:
@@ -236,17 +242,28 @@
             return
         newer = [entry for entry in entries if StorePosition(era, entry.offset) >= self._position]
         if newer:
-            evacuated = evacuated_after(self._state.evacuated, newer)
-            self._advance(self._feed.position, evacuated, "store")
+            self._evacuations.apply(newer)
+            self._advance(self._feed.position, "store")
             self._apply_configurations(newer)
 
-    def _advance(
-        self, position: StorePosition, evacuated: frozenset[DataCentre], source: str
-    ) -> None:
-        """Move the position on, with the data centres that are evacuated as of it."""
+    def _begin_era_of(self, position: StorePosition) -> None:
+        """Keep the evacuations for a while if the position is the first one in a later era."""
+        if position.era > self._position.era:
+            self._evacuations.begin_era(self._clock.now())
+            self._clock.after(RESTORE_GRACE_S, self._end_kept_evacuations)
+
+    def _end_kept_evacuations(self) -> None:
+        self._evacuations.end_kept(self._clock.now())
+        self._put_evacuations_into_force("restore")
+
+    def _advance(self, position: StorePosition, source: str) -> None:
+        """Move the position on; the evacuations are already those as of it."""
         self._position = position
-        self._exchange.set_position(position, evacuated)
-        if set_evacuated(self._state, evacuated, position, source):
+        self._exchange.set_position(position, self._evacuations.listed)
+        self._put_evacuations_into_force(source)
+
+    def _put_evacuations_into_force(self, source: str) -> None:
+        if set_evacuated(self._state, self._evacuations.in_force, self._position, source):
             self._on_evacuation()
 
     def _log_outdated(self, end: StorePosition) -> None:
--- a/briarpond/gateway/_evacuation.py
+++ b/briarpond/gateway/_evacuation.py
@@ -1,39 +1,12 @@
 """Data centres that the operator has evacuated: no request is sent to a server there."""
 
-from collections.abc import Iterable
-
 from briarpond.directory import RoutingTargets, StorePosition
 from briarpond.ids import DataCentre, InstanceId
 from briarpond.logs import log_event
-from briarpond.platform import KeyedRecord, evacuated_data_centre
 
 from ._state import NodeState
 
 
-def evacuated_after(
-    evacuated: frozenset[DataCentre], entries: Iterable[KeyedRecord]
-) -> frozenset[DataCentre]:
-    """Return the evacuated data centres after further records of the operator.
-
-    Parameters
-    ----------
-    evacuated : frozenset of DataCentre
-        Data centres that are evacuated before these records.
-    entries : iterable of KeyedRecord
-        Records in the order of their offsets; those with other keys are ignored.
-    """
-    result = set(evacuated)
-    for entry in entries:
-        data_centre = evacuated_data_centre(entry.key)
-        if data_centre is None:
-            continue
-        if entry.value is None:
-            result.discard(data_centre)
-        else:
-            result.add(data_centre)
-    return frozenset(result)
-
-
 def set_evacuated(
     state: NodeState, evacuated: frozenset[DataCentre], position: StorePosition, source: str
 ) -> bool:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from briarpond.gateway._evacuation_orders import RESTORE_GRACE_S
 from briarpond.gateway._ingress import KEYS_MAX_AGE_SHARE
 
 from ..platform_samples import config_bytes
@@ -65,3 +66,72 @@
         world.run(PULL_INTERVAL_S, ("b", "a"))
         now = world.clock.now()
         assert all(keeper.age(now) < STALE_S for keeper in world.keepers.values())
+
+
+def evacuate_and_restore(world):
+    """Evacuate a data centre, and come back from a copy without the order."""
+    world.start("a")
+    world.start("b", is_candidate=False, log=rejecting_log(world))
+    world.run(0.8, ("b", "a"))
+    world.log.evacuate("north")
+    world.run(0.8, ("b", "a"))
+    world.log.restore(1)
+    world.run(0.8, ("b", "a"))
+
+
+def evacuated(world):
+    return [state.evacuated for state in world.states.values()]
+
+
+# Guards against requests to servers of an evacuated data centre between the return of the store and
+# the moment at which the operator has written the order again.
+def test_evacuation_outlasts_a_restoration_that_has_lost_it(world):
+    evacuate_and_restore(world)
+    assert evacuated(world) == [{"north"}] * 2
+    world.run(RESTORE_GRACE_S / 2, ("b", "a"))
+    world.log.evacuate("north")
+    world.run(2 * RESTORE_GRACE_S, ("b", "a"))
+    assert evacuated(world) == [{"north"}] * 2
+
+
+# Guards against an order that is kept for good because its cancellation went unseen.
+def test_order_that_the_store_does_not_get_again_ends(world):
+    evacuate_and_restore(world)
+    world.run(RESTORE_GRACE_S + 1.0, ("b", "a"))
+    assert evacuated(world) == [frozenset()] * 2
+
+
+def test_cancellation_after_a_restoration_ends_the_order_at_once(world):
+    evacuate_and_restore(world)
+    world.log.cancel("north")
+    world.run(0.8, ("b", "a"))
+    assert world.states["a"].evacuated == frozenset()
+
+
+# Guards against a cancelled order that comes back by way of a node which still keeps it.
+def test_kept_order_is_not_passed_on(world):
+    evacuate_and_restore(world)
+    state = world.start("c", is_candidate=False, log=rejecting_log(world))
+    world.run(0.8, ("c", "b"))
+    assert state.config is not None and state.evacuated == frozenset()
+
+
+# Guards against reads without a pause while an evacuation is in force.
+def test_node_that_starts_during_an_evacuation_reads_the_store_with_pauses(world):
+    world.log.era = 3
+    world.log.evacuate("north")
+    state = world.start("a")
+    calls = world.log.calls
+    world.clock.advance(3 * RESTORE_GRACE_S)
+    assert state.evacuated == {"north"}
+    assert world.log.calls - calls < 3 * RESTORE_GRACE_S / 0.5
+
+
+def test_two_restorations_one_after_the_other(world):
+    evacuate_and_restore(world)
+    world.log.restore(1)
+    world.run(0.8, ("b", "a"))
+    assert evacuated(world) == [{"north"}] * 2
+    write(world, 9)
+    world.run(BOUND_S, ("b", "a"))
+    assert [state.config.version for state in world.states.values()] == [9, 9]
