A version that is known not to be the newest is not confirmed

What callers see: refusals by an older version for as long as another node that lags repeats its confirmation, although the node has been told of a newer one.

Cause: a status counts if version and position are those in force here. That a third node had announced newer records made the node fetch them, but didn't keep it from taking the confirmation.

Change: a status or record doesn't confirm while newer records are announced than those in force. A record is put into force before it is judged, and a list of the store from before a position that is known never confirms, also not as the first one.

Evidence: both new tests failed before.

--- a/briarpond/gateway/_config_keeper.py
+++ b/briarpond/gateway/_config_keeper.py
@@ -129,7 +129,8 @@
         """Use what another node knows of the records that are in force here, too.
 
         A status with another position confirms nothing. If its position is newer, records are
-        missing here; if it is older, that node may have read outdated answers of the store.
+        missing here; if it is older, that node may have read outdated answers of the store. Nor
+        does one of a version that is known not to be the newest.
         """
         now = self._clock.now()
         config = self._state.config
@@ -137,6 +138,8 @@
             return
         if status.position is not None and status.position != self._position:
             return
+        if not self._has_newest():
+            return
         self._feed.confirm(newest_at, host)
         if now - newest_at < CONFIRMED_MAX_AGE_S:
             self._confirmed_at = now
@@ -159,7 +162,12 @@
             self._announced[host] = (max(version, known_version), max(position, known_position))
             self._fetch_announced()
 
+    def _has_newest(self) -> bool:
+        """Whether no other node has announced newer records than those in force here."""
+        return not self._is_newer(self._newest_version, self._newest_position)
+
     def _is_newer(self, version: int, position: StorePosition) -> bool:
+        """Whether records are newer than those in force here."""
         config = self._state.config
         return config is None or config.version < version or self._position < position
 
@@ -195,7 +203,7 @@
         if self._exchange.may_deliver(now):
             return False
         confirmed = now - self._confirmed_at <= CONFIRMATION_LIFETIME_S
-        return not confirmed or self._is_newer(self._newest_version, self._newest_position)
+        return not confirmed or not self._has_newest()
 
     def _store_wait_s(self) -> float:
         """Return for how many seconds the store may hold back a read of the configuration.
@@ -212,14 +220,15 @@
     def _on_record(self, record: ConfigRecord, newest_at: float, host: str) -> None:
         """Use the records of another node, unless they are older than those here."""
         position = record.position
-        if position is None or position >= self._position:
-            # Without a position, records before that of the configuration may be missing here.
-            self._feed.adopt(position, newest_at, host)
+        is_outdated = position is not None and position < self._position
         if position is not None and position > self._position:
             self._begin_era_of(position)
             self._evacuations.replace(record.evacuated)
             self._advance(position, "node")
         self._apply(KeyedRecord(CONFIG_KEY, record.value, record.offset))
+        if not is_outdated:
+            # Without a position, records before that of the configuration may be missing here.
+            self._feed.adopt(position, newest_at if self._has_newest() else None, host)
 
     def _on_list(self, entries: Sequence[KeyedRecord]) -> None:
         """Use the newest record of each key, unless the list is older than what is known."""
--- a/briarpond/gateway/_topic_feed.py
+++ b/briarpond/gateway/_topic_feed.py
@@ -132,9 +132,8 @@
 
     def confirm(self, at: float, source: str) -> None:
         """Record that no change of the topic up to the time `at` is missing."""
-        if self.known_until is not None and at > self.known_until:
-            self.known_until = at
-            self.confirmed_by = source
+        if self.known_until is not None or self._state is _FeedState.TAIL:
+            self._take_over(at, source)
 
     @property
     def position(self) -> StorePosition:
@@ -145,7 +144,7 @@
         """Read the newest record of each key anew, because records are missing."""
         self._begin_snapshot()
 
-    def adopt(self, position: StorePosition | None, known_until: float, source: str) -> None:
+    def adopt(self, position: StorePosition | None, known_until: float | None, source: str) -> None:
         """Take over a state of the topic that another node has read.
 
         Parameters
@@ -153,8 +152,8 @@
         position : StorePosition or None
             Position that follows that state. None if it is not known; the topic is then read on
             from where this feed is.
-        known_until : float
-            Time up to which the other node knew all changes.
+        known_until : float or None
+            Time up to which the other node knew all changes; None if it is known to lack some.
         source : str
             The other node.
         """
@@ -166,10 +165,13 @@
             self._store.note_era(position.era)
             newest = max(self.position, position)
             self.era, self.offset = newest.era, newest.offset
-        if self.known_until is None:
+        if known_until is not None:
+            self._take_over(known_until, source)
+
+    def _take_over(self, known_until: float, source: str) -> None:
+        if self.known_until is None or known_until > self.known_until:
             self.known_until = known_until
             self.confirmed_by = source
-        self.confirm(known_until, source)
 
     def _send_read(self) -> None:
         """Send the next read; every answer, loss and error leads back to here."""
@@ -251,7 +253,7 @@
         self._begin_snapshot()
         self.offset = end_offset
         self._state = _FeedState.TAIL
-        if self.position >= self._reached() or self.known_until is None:
+        if self.position >= self._reached():
             self.known_until = self._snapshot_began_at
             self.confirmed_by = STORE_SOURCE
         self._on_snapshot(entries)
--- a/tests/gateway/test_config_keeper.py
+++ b/tests/gateway/test_config_keeper.py
@@ -8,7 +8,12 @@
 
 import pytest
 
-from briarpond.directory import ConfigRecord, ConfigStatus, encode_config_record
+from briarpond.directory import (
+    ConfigRecord,
+    ConfigStatus,
+    StorePosition,
+    encode_config_record,
+)
 from briarpond.gateway._config_keeper import CONFIRMED_MAX_AGE_S, ConfigKeeper
 from briarpond.gateway._state import NodeState
 from briarpond.net import LossReason
@@ -200,3 +205,24 @@
     record = ConfigRecord(9, 0.1, zlib.compress(config_bytes(version=9)))
     world.client.fetches.pop()[2](200, encode_config_record(record))
     assert world.client.fetches == []
+
+
+# Guards against nodes that confirm an older version to each other after they were told of a newer
+# one: a node that gets outdated answers from the store goes on telling what it has.
+def test_version_that_is_known_not_to_be_the_newest_is_not_confirmed(world):
+    world.deliver(8)
+    world.clock.advance(0.5)
+    age = world.keeper.age(world.clock.now())
+    world.keeper.on_version(9, "10.0.0.3")
+    world.client.fetches.pop()[3](LossReason.TIMEOUT)
+    world.confirm_for(8, 0.5)
+    assert world.keeper.age(world.clock.now()) == pytest.approx(age + 0.5)
+
+
+def test_record_that_is_known_not_to_be_the_newest_is_used_but_not_confirmed(world):
+    world.keeper.on_version(9, "10.0.0.3")
+    world.client.fetches.pop()[3](LossReason.TIMEOUT)
+    record = ConfigRecord(8, 0.0, config_bytes(version=8), StorePosition(0, 9))
+    world.keeper._on_record(record, world.clock.now(), RELAY)
+    assert world.applied == [8]
+    assert world.keeper.age(world.clock.now()) is None
