A cancellation from before the lost order does not end a kept one

Cause: the list of a restored store may name a key whose newest record there has no value. It was taken for a cancellation, although it is older than the order that was lost.

--- a/briarpond/gateway/_config_keeper.py
+++ b/briarpond/gateway/_config_keeper.py
@@ -237,8 +237,7 @@
             self._log_outdated(end)
             return
         self._begin_era_of(end)
-        self._evacuations.replace(frozenset())
-        self._evacuations.apply(entries)
+        self._evacuations.replace_by_list(entries)
         self._advance(end, "store")
         self._apply_configurations(entries)
 
--- a/briarpond/gateway/_evacuation_orders.py
+++ b/briarpond/gateway/_evacuation_orders.py
@@ -38,6 +38,15 @@
         """Take over the whole set as of a position."""
         self.listed = listed
 
+    def replace_by_list(self, entries: Iterable[KeyedRecord]) -> None:
+        """Take over the newest record of each key.
+
+        A key without a value does not end an order that is kept: the list of a restored store is
+        from before what it has lost.
+        """
+        places = [evacuated_data_centre(entry.key) for entry in entries if entry.value is not None]
+        self.listed = frozenset(place for place in places if place is not None)
+
     def apply(self, entries: Iterable[KeyedRecord]) -> None:
         """Take over further records in the order of their offsets; other keys are ignored."""
         listed = set(self.listed)
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -135,3 +135,16 @@
     write(world, 9)
     world.run(BOUND_S, ("b", "a"))
     assert [state.config.version for state in world.states.values()] == [9, 9]
+
+
+# Guards against an order that ends because the restored store still shows an earlier cancellation.
+def test_earlier_cancellation_in_the_list_does_not_end_a_kept_order(world):
+    world.start("a")
+    world.log.evacuate("north")
+    world.log.cancel("north")
+    copy_end = len(world.log.records)
+    world.log.evacuate("north")
+    world.run(0.8)
+    world.log.restore(copy_end)
+    world.run(0.8)
+    assert world.states["a"].evacuated == {"north"}
