The second page of a list is not taken for the first one of a new era

What callers see: a change that is skipped while the version before is confirmed, if the store comes back while the list of the operator's records is read in pages; servers that are missing until they write again.

Cause: what makes an answer the first page was asked of the feed's state after that state had been reset for the new era.

Change: the feed remembers the key after which the page that it asked for begins.

Evidence: test_second_page_is_not_taken_for_the_first_of_a_new_era failed before.

--- a/briarpond/gateway/_topic_feed.py
+++ b/briarpond/gateway/_topic_feed.py
@@ -118,6 +118,8 @@
         self._requested_at = 0.0
         self._requested_offset = 0
         self._requested_era = 0
+        # Key after which the page that was asked for begins; None for the first page.
+        self._requested_after: str | None = None
         self._failures = 0
         self._failed_at = float("-inf")
         self._next_delay_s = 0.0
@@ -184,6 +186,7 @@
             return
         self._requested_at = self._clock.now()
         self._requested_era = self.era
+        self._requested_after = self._next_page_after
         if self._state is _FeedState.SNAPSHOT:
             request = newest_records_request(self._topic, self._next_page_after)
             timeout_s, handle = CALL_TIMEOUT_S, self._on_page
@@ -222,8 +225,8 @@
         self._begin_snapshot()
 
     def _is_usable(self, handle: Callable[[int, bytes], None]) -> bool:
-        """Whether an answer fits to what this feed has: it does not continue another era."""
-        is_first_page = handle == self._on_page and self._snapshot_end is None
+        """Whether an answer begins a list, or continues what this feed has in its present era."""
+        is_first_page = handle == self._on_page and self._requested_after is None
         return is_first_page or self._requested_era == self.era
 
     def _on_page(self, status: int, body: bytes) -> None:
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -1,10 +1,11 @@
 """Age of a feed's view of its topic, while it follows the topic and after failures."""
 
+import json
 import struct
 
 import pytest
 
-from briarpond.directory import RELAY_INTERVAL_S
+from briarpond.directory import RELAY_INTERVAL_S, StorePosition
 from briarpond.gateway._node import PLANNER_READ_PAUSE_S, PLANNER_READ_WAIT_S
 from briarpond.gateway._state import plan_lifetime_s
 from briarpond.gateway._topic_feed import IDLE_CHECK_INTERVAL_S, TopicFeed
@@ -217,3 +218,88 @@
     clock.advance(1.0)
     store.on_answer(200, b'{"entries":[{"key":"b","offset":0}],"hasMore":false,"end":9}')
     assert feed.known_until == began_at
+
+
+class EraStore(PagedStore):
+    """Store whose answers the test gives, each in an era."""
+
+    def __init__(self):
+        super().__init__()
+        self.targets = []
+
+    def call(self, request, timeout_s, on_answer, on_lost):
+        super().call(request, timeout_s, on_answer, on_lost)
+        self.targets.append(request.target)
+
+    def answer(self, era, body, status=200):
+        self.era = era
+        self.on_answer(status, body)
+
+
+def page(key, has_more, end):
+    entries = [{"key": key, "offset": 0}]
+    return json.dumps({"entries": entries, "hasMore": has_more, "end": end}).encode()
+
+
+@pytest.fixture
+def restored():
+    """Return a store and a feed of it, with the keys of each list and of each further record."""
+    clock, store, lists, records = VirtualClock(), EraStore(), [], []
+    feed = TopicFeed(
+        store,
+        clock,
+        "keyed.servers",
+        lambda entries: lists.append([entry.key for entry in entries]),
+        lambda entries: records.append([entry.key for entry in entries]),
+    )
+    feed.start()
+    store.clock, store.feed, store.lists, store.records = clock, feed, lists, records
+    return store
+
+
+# Guards against a list without its first keys: the era began while the list was read in pages, and
+# the second page was taken for the first one of the new list.
+def test_second_page_is_not_taken_for_the_first_of_a_new_era(restored):
+    restored.answer(1, page("a", True, 3))
+    restored.answer(2, page("b", False, 3))
+    assert restored.lists == []
+    restored.answer(2, page("a", True, 3))
+    restored.answer(2, page("b", False, 3))
+    assert restored.lists == [["a", "b"]]
+
+
+# Guards against records of a new era that are taken for those that follow in the former one.
+def test_read_that_is_answered_in_a_new_era_leads_to_a_new_list(restored):
+    restored.answer(1, page("a", False, 9))
+    restored.answer(2, records_answer((b"b", b"x"), first=9))
+    assert restored.records == [] and "newest" in restored.targets[-1]
+    restored.answer(2, page("c", False, 4))
+    assert restored.lists == [["a"], ["c"]]
+    assert restored.feed.position == StorePosition(2, 4)
+
+
+# Guards against an empty answer to a read of a former era that moves the offset beyond the end.
+def test_answer_to_a_read_from_before_a_peers_era_is_not_used(restored):
+    restored.answer(1, page("a", False, 9))
+    restored.feed.adopt(StorePosition(2, 3), restored.clock.now(), "b")
+    assert restored.era == 2
+    restored.answer(2, struct.pack(">QQ", 9, 0))
+    assert restored.feed.position == StorePosition(2, 3)
+    assert "from=3" in restored.targets[-1]
+
+
+# Guards against a list from before what is known to exist, which confirms that nothing is missing.
+@pytest.mark.parametrize(("reached", "is_confirmed"), [(3, True), (4, False)])
+def test_list_from_before_a_known_position_confirms_nothing(reached, is_confirmed):
+    clock, store = VirtualClock(), EraStore()
+    feed = TopicFeed(
+        store,
+        clock,
+        "keyed.op",
+        lambda entries: None,
+        lambda entries: None,
+        reached=lambda: StorePosition(1, reached),
+    )
+    feed.start()
+    store.answer(1, page("a", False, 3))
+    assert (feed.known_until is not None) is is_confirmed
