A configuration is not the newest once another node has announced a newer version

What callers see: a revoked key that goes on working. The store has come back without the version that took it away, one node had announced it and is gone, and the others confirm the version before by the store.

Cause: that a newer version is known kept a node from taking confirmations of other nodes, not from its own reads.

Change: the age of the configuration counts from the announcement, until a version as new is in force. Keys are refused if that takes longer than they may; the operator writes the version again within seconds.

Evidence: the new test failed before.

--- a/briarpond/gateway/_config_keeper.py
+++ b/briarpond/gateway/_config_keeper.py
@@ -70,6 +70,8 @@
         self._on_evacuation = on_evacuation
         self._confirmed_at = float("-inf")
         self._newest_version = 0
+        # Since when another node is known to have a newer version; None if none is.
+        self._outdated_since: float | None = None
         self._position = UNKNOWN_POSITION
         self._newest_position = UNKNOWN_POSITION
         self._evacuations = EvacuationOrders()
@@ -103,9 +105,13 @@
     def age(self, now: float) -> float | None:
         """Return the seconds since the configuration in force was certainly the newest.
 
-        None if that is not known.
+        None if that is not known. From the moment at which another node has announced a newer
+        version it isn't the newest, whatever a store says that has come back without it.
         """
-        return self._feed.age(now)
+        age = self._feed.age(now)
+        if age is None or self._outdated_since is None:
+            return age
+        return max(age, now - self._outdated_since)
 
     def origin(self) -> ConfigOrigin:
         """Return where the records in force come from."""
@@ -147,8 +153,16 @@
     def on_version(self, version: int, host: str) -> None:
         """Fetch a configuration that another node has if it is newer than the one here."""
         self._newest_version = max(self._newest_version, version)
+        self._note_outdated()
         self._on_announced(version, UNKNOWN_POSITION, host)
 
+    def _note_outdated(self) -> None:
+        config = self._state.config
+        if config is None or config.version >= self._newest_version:
+            self._outdated_since = None
+        elif self._outdated_since is None:
+            self._outdated_since = self._clock.now()
+
     def on_position(self, position: StorePosition, host: str) -> None:
         """Fetch the records of another node if they go further than those here."""
         self._store.note_era(position.era)
@@ -308,5 +322,6 @@
             tenants=len(config.tenants),
             offset=entry.offset,
         )
+        self._note_outdated()
         self._exchange.set_record(entry.offset, entry.value)
         self._on_applied(config)
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -148,3 +148,17 @@
     world.log.restore(copy_end)
     world.run(0.8)
     assert world.states["a"].evacuated == {"north"}
+
+
+# Guards against revoked keys that work while a node knows of a newer version: the restored store
+# shows the one before, and the node that had the newer one is gone.
+def test_version_that_another_node_had_is_not_denied_by_the_restored_store(world):
+    world.start("a")
+    world.run(0.8)
+    world.keepers["a"].on_version(8, "gone")
+    world.log.restore(1)
+    world.run(STALE_S)
+    assert world.keepers["a"].age(world.clock.now()) > STALE_S - 0.5
+    write(world, 8)
+    world.run(BOUND_S)
+    assert world.keepers["a"].age(world.clock.now()) < STALE_S
