An era that no store can tell is malformed in a message between nodes

What callers see: 503 keys_stale for good after one wrong message, since each answer of the store counts as one of a former era.

Change: an era is checked where it is read, by the same bound as that of the store's header.

Evidence: the new cases failed before.

--- a/briarpond/directory/__init__.py
+++ b/briarpond/directory/__init__.py
@@ -12,6 +12,7 @@
 from ._loads import demand_rows
 from ._members import MemberTable
 from ._models import (
+    MAX_STORE_ERA,
     Answer,
     ConfigRecord,
     ConfigStatus,
@@ -38,6 +39,7 @@
     "HOUSEKEEPING_INTERVAL_S",
     "LOAD_LIFETIME_S",
     "MAX_DATAGRAM_BYTES",
+    "MAX_STORE_ERA",
     "PAUSE_S",
     "RELAY_INTERVAL_S",
     "UNENCODABLE",
--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -12,6 +12,7 @@
 from ._codec_ages import age_from_ms, age_to_ms
 from ._codec_evidence import evidence_from_wire, evidence_to_wire
 from ._models import (
+    MAX_STORE_ERA,
     Answer,
     ConfigRecord,
     ConfigStatus,
@@ -333,8 +334,18 @@
 
 
 def _position_from_wire(offset: int | None, era: int | None) -> StorePosition | None:
-    """Return a position; one of an earlier release names no era."""
-    return None if offset is None else StorePosition(era or 0, offset)
+    """Return a position; one of an earlier release names no era.
+
+    Raises
+    ------
+    ValueError
+        If no store can tell the era. Taken over, it would make each answer of the store outdated.
+    """
+    if offset is None:
+        return None
+    if era is not None and not 0 <= era <= MAX_STORE_ERA:
+        raise ValueError(f"era {era} is out of range")
+    return StorePosition(era or 0, offset)
 
 
 def _delta_to_wire(delta: PlanDelta) -> ttypes.PlanDelta:
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -10,6 +10,9 @@
 from briarpond.quarantine import Evidence
 from briarpond.routes import ModelName
 
+# Largest era of the store: numbers that begin with an era, like epochs of groups, fit into 63 bits.
+MAX_STORE_ERA = 800_000
+
 
 class ServerInFlight(msgspec.Struct, frozen=True):
     """Requests that one node, or all nodes of a data centre, have in flight at a server.
--- a/briarpond/platform/_headers.py
+++ b/briarpond/platform/_headers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from briarpond.directory import MAX_STORE_ERA
 from briarpond.ids import PromptPart
 from briarpond.net import Headers, find_header, parse_count
 
@@ -88,8 +89,6 @@
 _BEARER_PREFIX = "bearer "
 # Larger counts of requests or tokens are read as this.
 MAX_COUNT = 10_000_000
-# Largest era of the store that is told apart: epochs that begin with it fit into 63 bits.
-MAX_STORE_ERA = 800_000
 # Greatest value of the header with the priority.
 LAST_PRIORITY = 9
 # Bytes of the digest that stands for a long id of a part. Two ids with the same digest would be
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -7,7 +7,9 @@
 
 from briarpond.directory import (
     LOAD_LIFETIME_S,
+    MAX_STORE_ERA,
     Answer,
+    ConfigRecord,
     ConfigStatus,
     GroupTarget,
     Load,
@@ -26,7 +28,9 @@
     ServerInFlight,
     StorePosition,
     SyncCallbacks,
+    decode_config_record,
     decode_datagram,
+    encode_config_record,
     encode_datagram,
 )
 from briarpond.directory._loads import subtract_load, sum_loads
@@ -417,3 +421,14 @@
     sync = sync_with_position(member("1"), ConfigStatus(7, 0.5, StorePosition(1, 20)), heard)
     sync.on_pull(Pull(member("2"), 1, 0, 0, PlanVersion(), 7, Load()), 10.0)
     assert heard == [(7, "10.0.0.2")]
+
+
+# Guards against a node that refuses all answers of the store for good after one wrong message.
+@pytest.mark.parametrize(
+    ("era", "is_read"), [(MAX_STORE_ERA, True), (2**31 - 1, False), (-1, False)]
+)
+def test_era_that_no_store_can_tell_is_malformed(era, is_read):
+    notice = Notice(member("1"), config_position=StorePosition(era, 5))
+    assert decode_datagram(encode_datagram(notice)).is_ok() is is_read
+    record = ConfigRecord(5, 0.5, b"{}", StorePosition(era, 5))
+    assert decode_config_record(encode_config_record(record)).is_ok() is is_read
