Entries missing after a restoration get no work on a node with an old list

What callers see: requests that go to servers that left long ago (DRAIN), sent by a node that hasn't followed the list of servers and reads it again after a restoration of the store.

Cause: the restoration was treated as an outage during which the node had followed the list. Found by the review of the fix, like the weak tests: the client of the store now takes the function that it calls as a parameter, the node's own part is tested, and a first registration under way during a restoration is, too.

Evidence: test_missing_entry_gets_no_work_after_a_restoration_if_the_list_is_old failed before.

--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -120,8 +120,7 @@
         self._clock = clock
         self._on_stopped = on_stopped
         self._started_at = clock.now()
-        self._store = StoreClient(settings.store.address, client)
-        self._store.on_restored = self._on_store_restored
+        self._store = StoreClient(settings.store.address, client, self._on_store_restored)
         self._config = ConfigKeeper(
             self.state,
             self._store,
@@ -348,7 +347,7 @@
 
     def _on_store_restored(self) -> None:
         """Wait for what servers write again, and write again what this node has written."""
-        self.state.fleet.outage_ended(self._clock.now())
+        self.state.on_store_restored(self._clock.now())
         self._registry.on_store_restored()
 
     # Nodes
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -278,6 +278,12 @@
             return
         self.fleet.outage_ended(now, failure_age_s <= MAX_RETRY_GAP_S)
 
+    def on_store_restored(self, now: float) -> None:
+        """Begin the grace period of the instance list after a restoration of the store."""
+        known_until = self.list_known_until()
+        is_followed = known_until is not None and now - known_until <= MAX_RETRY_GAP_S
+        self.fleet.outage_ended(now, is_followed)
+
     def planner_heard(self, at: float) -> None:
         """Record that the planner, another node, had its plan at a time."""
         self._planner_heard_at = max(self._planner_heard_at, at)
--- a/briarpond/gateway/_store_client.py
+++ b/briarpond/gateway/_store_client.py
@@ -13,6 +13,15 @@
 class StoreClient:
     """Client of the store, shared by the whole process.
 
+    Parameters
+    ----------
+    address : Address
+        Address of the store.
+    client : HttpClient
+        Client that sends the calls.
+    on_restored : callable
+        Called when the era has risen: what was written lately is missing in the store for now.
+
     Attributes
     ----------
     calls : int
@@ -20,16 +29,16 @@
     era : int
         Latest era that an answer has named; 0 if none did. The store begins a new one when it
         comes back from a copy; offsets and generations of two eras can't be compared.
-    on_restored : callable
-        Called when the era has risen: what was written lately is missing in the store for now.
     """
 
-    def __init__(self, address: Address, client: HttpClient) -> None:
+    def __init__(
+        self, address: Address, client: HttpClient, on_restored: Callable[[], None]
+    ) -> None:
         self._address = address
         self._client = client
         self.calls = 0
         self.era = 0
-        self.on_restored: Callable[[], None] = lambda: None
+        self._on_restored = on_restored
 
     def call(
         self, request: StoreRequest, timeout_s: float, on_answer: OnAnswer, on_lost: OnLost
@@ -82,4 +91,4 @@
             is_first = self.era == 0
             self.era = era
             if not is_first:
-                run_guarded("store_restored", self.on_restored)
+                run_guarded("store_restored", self._on_restored)
--- a/tests/gateway/test_instance_list.py
+++ b/tests/gateway/test_instance_list.py
@@ -11,7 +11,7 @@
 from briarpond.platform import KeyedRecord
 
 from ..platform_samples import server_bytes
-from .world import make_instance
+from .world import Gateway, make_instance
 
 NOW = 100.0
 UNUSABLE = [b"", b"no JSON", b"[" * 100_000, server_bytes(slots=2**70), server_bytes(addr="x")]
@@ -52,16 +52,44 @@
     assert listed(fleet) == {"a", "b"}
 
 
+def restored_state(tmp_path, list_known_until):
+    """Return the state of a node that hears of a restoration at NOW + 1, with one instance."""
+    gateway = Gateway(tmp_path)
+    state = gateway.state
+    state.fleet = FleetView()
+    state.fleet.replace_all([make_instance("i-1")], NOW)
+    state.list_known_until = lambda: list_known_until
+    state.on_store_restored(NOW + 1)
+    return state
+
+
 # Guards against a planner that takes over on the list of a store that has come back from a copy:
 # groups that were opened since the copy are not listed, and their members look free.
-def test_list_is_incomplete_for_a_while_after_a_restoration_of_the_store():
-    fleet = FleetView()
-    fleet.replace_all([make_instance("i-1")], NOW)
-    node = SimpleNamespace(state=SimpleNamespace(fleet=fleet), _clock=SimpleNamespace())
-    node._clock.now = lambda: NOW + 1
-    node._registry = SimpleNamespace(on_store_restored=lambda: None)
-    Node._on_store_restored(node)
+def test_list_is_incomplete_for_a_while_after_a_restoration_of_the_store(tmp_path):
+    fleet = restored_state(tmp_path, NOW + 0.5).fleet
     assert not fleet.is_complete(NOW + 1)
     fleet.replace_all([], NOW + 1.1)
-    assert listed(fleet) == {"i-1"}
+    assert listed(fleet) == {"i-1"} and "i-1" not in fleet.unavailable_since
     assert fleet.is_complete(NOW + 1 + REREGISTRATION_GRACE_S)
+
+
+# Guards against requests to servers that left long ago, on a node that did not follow the list.
+@pytest.mark.parametrize("list_known_until", [None, NOW - 10.0])
+def test_missing_entry_gets_no_work_after_a_restoration_if_the_list_is_old(
+    tmp_path, list_known_until
+):
+    fleet = restored_state(tmp_path, list_known_until).fleet
+    fleet.replace_all([], NOW + 1.1)
+    assert "i-1" in fleet.unavailable_since
+
+
+# Guards against a restoration that the node's parts are not told of.
+def test_node_tells_its_parts_of_a_restoration():
+    told = []
+    node = SimpleNamespace(
+        state=SimpleNamespace(on_store_restored=told.append),
+        _clock=SimpleNamespace(now=lambda: NOW),
+        _registry=SimpleNamespace(on_store_restored=lambda: told.append("registry")),
+    )
+    Node._on_store_restored(node)
+    assert told == [NOW, "registry"]
--- a/tests/gateway/test_registry.py
+++ b/tests/gateway/test_registry.py
@@ -34,13 +34,21 @@
             on_answer(200, body)
 
 
+def make_registry(clock, store, is_candidate):
+    """Return a started registry of a node that knows others."""
+    settings = SimpleNamespace(node="n1", host="10.0.0.1", seed_hosts=())
+    registry = NodeRegistry(
+        store, clock, settings, lambda hosts: None, lambda: True, lambda: is_candidate
+    )
+    registry.start()
+    return registry
+
+
 @pytest.fixture
 def registry():
     clock, store = VirtualClock(), NodesStore()
-    settings = SimpleNamespace(node="n1", host="10.0.0.1", seed_hosts=())
-    registry = NodeRegistry(store, clock, settings, lambda hosts: None, lambda: True, lambda: True)
+    registry = make_registry(clock, store, is_candidate=True)
     registry.clock, registry.store = clock, store
-    registry.start()
     clock.advance(2 * CHECK_INTERVAL_S)
     return registry
 
@@ -69,23 +77,28 @@
     assert registry.store.registrations == 2
 
 
-def test_registration_under_way_during_a_restoration_does_not_count(registry):
-    registry.on_store_restored()
-    registry.store.holds_answers = True
-    registry.clock.advance(2 * CHECK_INTERVAL_S)
+@pytest.mark.parametrize("is_first", [True, False])
+def test_registration_under_way_during_a_restoration_does_not_count(is_first):
+    clock, store = VirtualClock(), NodesStore()
+    registry = make_registry(clock, store, is_candidate=True)
+    store.holds_answers = is_first
+    clock.advance(2 * CHECK_INTERVAL_S)
+    if not is_first:
+        registry.on_store_restored()
+        store.holds_answers = True
+        clock.advance(2 * CHECK_INTERVAL_S)
+    sent = store.registrations
     registry.on_store_restored()
-    registry.store.holds_answers = False
-    for answer in registry.store.held:
+    store.holds_answers = False
+    for answer in store.held:
         answer()
-    registry.clock.advance(2 * CHECK_INTERVAL_S)
-    assert registry.store.registrations == 3
+    clock.advance(2 * CHECK_INTERVAL_S)
+    assert store.registrations == sent + 1
 
 
 def test_node_that_never_registered_does_not_after_a_restoration():
     clock, store = VirtualClock(), NodesStore()
-    settings = SimpleNamespace(node="n1", host="10.0.0.1", seed_hosts=())
-    registry = NodeRegistry(store, clock, settings, lambda hosts: None, lambda: True, lambda: False)
-    registry.start()
+    registry = make_registry(clock, store, is_candidate=False)
     registry.on_store_restored()
     clock.advance(10 * CHECK_INTERVAL_S)
     assert store.registrations == 0
--- a/tests/gateway/test_store_client.py
+++ b/tests/gateway/test_store_client.py
@@ -28,10 +28,14 @@
 
     def __init__(self):
         self.http = AnsweringClient()
-        self.store = StoreClient(Address("10.0.0.1", 80), self.http)
+        self.store = StoreClient(Address("10.0.0.1", 80), self.http, self._on_restored)
+        self.restored = []
         self.answered = []
         self.lost = []
 
+    def _on_restored(self):
+        self.restored.append(self.store.era)
+
     def call(self):
         self.store.call(
             StoreRequest("GET", "/"),
@@ -84,11 +88,9 @@
 
 
 def test_each_restoration_is_told_once_and_the_first_era_is_none(world):
-    told = []
-    world.store.on_restored = lambda: told.append(world.store.era)
     for number, era in enumerate([2, 2, 3, 3]):
         world.call()
         world.http.answer(number, era)
     world.store.note_era(4)
     world.store.note_era(1)
-    assert told == [3, 4]
+    assert world.restored == [3, 4]
