--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from briarpond.directory import ConfigRecord, ConfigStatus, StorePosition
 from briarpond.gateway._evacuation_orders import RESTORE_GRACE_S
 from briarpond.gateway._ingress import KEYS_MAX_AGE_SHARE
 
@@ -162,3 +163,42 @@
     write(world, 8)
     world.run(BOUND_S)
     assert world.keepers["a"].age(world.clock.now()) < STALE_S
+
+
+# Guards against a store whose former answers are used because only other nodes know of the era.
+def test_era_that_another_node_has_named_is_passed_to_the_client_of_the_store(world):
+    named = []
+    world.log.note_era = named.append
+    world.start("a", is_candidate=False)
+    world.keepers["a"].on_position(StorePosition(3, 5), "b")
+    assert named == [3]
+    record = ConfigRecord(0, 0.0, config_bytes(version=7), StorePosition(4, 2), frozenset())
+    world.keepers["a"]._on_record(record, world.clock.now(), "b")
+    assert named == [3, 4]
+
+
+# Guards against a node that stays with a former era for as long as the confirmations last.
+def test_node_reads_the_store_if_nobody_delivers_what_was_announced(world):
+    world.start("a", is_candidate=False)
+    world.run(0.8)
+    calls = world.log.calls
+    keeper = world.keepers["a"]
+    keeper.on_position(StorePosition(1, 1), "gone")
+    for _ in range(4):
+        now = world.clock.now()
+        keeper.on_status(ConfigStatus(7, 0.0, StorePosition(0, 1)), now, "c")
+        world.clock.advance(0.5)
+    assert world.log.calls > calls
+
+
+# Guards against an outdated record of another node that moves the time of the confirmation.
+def test_outdated_record_confirms_nothing(world):
+    world.start("a", is_candidate=False, log=rejecting_log(world))
+    keeper = world.keepers["a"]
+    record = ConfigRecord(0, 0.0, config_bytes(version=7), StorePosition(2, 3), frozenset())
+    keeper._on_record(record, world.clock.now(), "b")
+    world.clock.advance(1.0)
+    for position in (StorePosition(1, 9), StorePosition(2, 2)):
+        outdated = ConfigRecord(0, 0.0, config_bytes(version=7), position, frozenset())
+        keeper._on_record(outdated, world.clock.now(), "c")
+        assert keeper.age(world.clock.now()) == pytest.approx(1.0)
