--- a/briarpond/gateway/_config_keeper.py
+++ b/briarpond/gateway/_config_keeper.py
@@ -135,8 +135,8 @@
         """Use what another node knows of the records that are in force here, too.
 
         A status with another position confirms nothing. If its position is newer, records are
-        missing here; if it is older, that node may have read outdated answers of the store. Nor
-        does one of a version that is known not to be the newest.
+        missing here; if it is older, that node may have read outdated answers of the store. And
+        nothing is confirmed while a third node has announced newer records than those here.
         """
         now = self._clock.now()
         config = self._state.config
--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -49,7 +49,7 @@
     ----------
     term : int
         Highest term of the lease that follows from the store's answers; it rises with each
-        change of the holder.
+        change of the lease group's members and with each era of the store.
     held_since : float
         Time at which this node last became the holder; infinite if it never did.
     ttl_s : float
--- a/briarpond/net/_loss.py
+++ b/briarpond/net/_loss.py
@@ -19,7 +19,7 @@
     TIMEOUT
         The answer was not complete in time.
     OUTDATED
-        The answer is of a former era of the store.
+        The answer is from before one that was already heard.
     """
 
     CONNECT_FAILED = "connect-failed"
--- a/tests/gateway/test_feed.py
+++ b/tests/gateway/test_feed.py
@@ -303,3 +303,11 @@
     feed.start()
     store.answer(1, page("a", False, 3))
     assert (feed.known_until is not None) is is_confirmed
+
+
+# Guards against an offset of a former era that counts as reached in the new one.
+def test_position_of_another_node_counts_while_the_list_of_a_new_era_is_awaited(restored):
+    restored.answer(1, page("a", False, 9))
+    restored.answer(2, records_answer((b"b", b"x"), first=9))
+    restored.feed.adopt(StorePosition(2, 3), restored.clock.now(), "b")
+    assert restored.feed.position == StorePosition(2, 3)
