Entries of a server that are older than the known one are not taken

What callers saw: after a restoration of the store, or with a list read from an outdated view, a server that had said it is leaving was used again (DRAIN), and requests and the planner could go by an earlier group of a server (PARTIAL, TWO).

Cause: FleetView took any entry as the newest. The number that a server gives its entries (seq) was not read, and its start (born) only told a restart.

Change: an entry with a lower start, or of the same start with a lower number, is not taken. One without a start is taken as before, and one without a number (none, another type, out of range) is compared by its start only. A list that differs from the known one in numbers only changes nothing but the number, as before. Event instance_outdated says what was not taken.

--- a/briarpond/fleet/_models.py
+++ b/briarpond/fleet/_models.py
@@ -78,6 +78,9 @@
         Group that the instance belongs to; None if it is in no group.
     cold_left_s : float or None
         Seconds for which it stays cold after its entry was written; None if not known.
+    sequence : int or None
+        Number of the entry, which rises with each that the instance writes and starts anew with
+        each start; None if not known.
     """
 
     id: InstanceId
@@ -92,3 +95,4 @@
     model: ModelName | None = None
     membership: Membership | None = None
     cold_left_s: float | None = None
+    sequence: int | None = None
--- a/briarpond/fleet/_view.py
+++ b/briarpond/fleet/_view.py
@@ -7,6 +7,7 @@
 from briarpond.ids import InstanceId, ServiceName
 
 from ._models import Instance, InstanceState
+from ._outdated import is_outdated
 
 # Entries lapse during an outage of the store. Instances that are running register again
 # within this time after it, in seconds.
@@ -66,9 +67,11 @@
         self.unavailable_since: dict[InstanceId, float] = {}
         self.version = 0
 
-    def put(self, instance: Instance, now: float) -> None:
-        """Add or replace an entry."""
+    def put(self, instance: Instance, now: float) -> bool:
+        """Add or replace an entry; return False, with no change, if it is older than the known."""
         previous = self._entries.get(instance.id)
+        if previous is not None and is_outdated(instance, previous.instance):
+            return False
         start_known_at = now
         if previous is not None and previous.instance.started_at_ms == instance.started_at_ms:
             start_known_at = previous.start_known_at
@@ -78,6 +81,7 @@
         else:
             self.unavailable_since.pop(instance.id, None)
         self.version += 1
+        return True
 
     def remove(self, instance: InstanceId, now: float) -> None:
         """Remove an entry, or mark it as missing within the grace period of an outage."""
@@ -92,8 +96,11 @@
         else:
             self._drop(instance, now)
 
-    def replace_all(self, instances: Iterable[Instance], now: float) -> None:
-        """Replace the list by one that was read as a whole, at the start or after a gap."""
+    def replace_all(self, instances: Iterable[Instance], now: float) -> list[Instance]:
+        """Replace the list by one that was read as a whole, at the start or after a gap.
+
+        Returns the entries that are older than the known ones, which stay.
+        """
         if self._first_list_may_be_incomplete:
             self._first_list_may_be_incomplete = False
             self.outage_ended(now)
@@ -101,10 +108,19 @@
         for instance_id in list(self._entries):
             if instance_id not in listed:
                 self.remove(instance_id, now)
-        for instance in listed.values():
-            current = self._entries.get(instance.id)
-            if current is None or current.instance != instance or current.missing_since is not None:
-                self.put(instance, now)
+        return [each for each in listed.values() if not self._put_if_changed(each, now)]
+
+    def _put_if_changed(self, instance: Instance, now: float) -> bool:
+        """Put an entry unless only its number differs; return False if it is older."""
+        entry = self._entries.get(instance.id)
+        if entry is None or entry.missing_since is not None:
+            return self.put(instance, now)
+        if is_outdated(instance, entry.instance):
+            return False
+        if not _says_the_same(instance, entry.instance):
+            return self.put(instance, now)
+        entry.instance = instance
+        return True
 
     def outage_ended(self, now: float, monitored: bool = True) -> None:
         """Begin the grace period after an outage, in which instances register again.
@@ -188,3 +204,8 @@
     def _drop(self, instance: InstanceId, now: float) -> None:
         del self._entries[instance]
         self.unavailable_since.setdefault(instance, now)
+
+
+def _says_the_same(entry: Instance, known: Instance) -> bool:
+    """Whether two entries of a server differ at most in their number."""
+    return msgspec.structs.replace(entry, sequence=known.sequence) == known
--- a/briarpond/gateway/_instance_list.py
+++ b/briarpond/gateway/_instance_list.py
@@ -24,8 +24,10 @@
     def replace_all(self, records: Sequence[KeyedRecord], now: float) -> None:
         """Take over the newest record of each key as the whole list."""
         instances = [instance for record in records if (instance := _decode(record)) is not None]
-        self._fleet.replace_all(instances, now)
-        log_event("instances_read", count=len(instances))
+        outdated = self._fleet.replace_all(instances, now)
+        log_event("instances_read", count=len(instances), outdated=len(outdated))
+        for instance in outdated:
+            self._log_outdated(instance)
 
     def apply_changes(self, records: Sequence[KeyedRecord], now: float) -> None:
         """Apply later records in order."""
@@ -42,7 +44,9 @@
         if decoded is None:
             return
         previous = self._fleet.get(instance)
-        self._fleet.put(decoded, now)
+        if not self._fleet.put(decoded, now):
+            self._log_outdated(decoded, record.offset)
+            return
         if previous is None or previous.state is not decoded.state:
             log_event(
                 "instance",
@@ -52,6 +56,25 @@
                 offset=record.offset,
             )
 
+    def _log_outdated(self, entry: Instance, offset: int = -1) -> None:
+        """Log an entry that was not taken, and what is known of its server instead."""
+        known = self._fleet.get(entry.id)
+        log_event(
+            "instance_outdated",
+            instance=entry.id,
+            state=entry.state.value,
+            born=entry.started_at_ms,
+            seq=_number(entry),
+            known_state="none" if known is None else known.state.value,
+            known_born=-1 if known is None else known.started_at_ms,
+            known_seq=_number(known),
+            offset=offset,
+        )
+
+
+def _number(entry: Instance | None) -> int:
+    return -1 if entry is None or entry.sequence is None else entry.sequence
+
 
 def _decode(record: KeyedRecord) -> Instance | None:
     """Return the instance that a record names; None if it names none that can be used."""
--- a/briarpond/platform/_instances.py
+++ b/briarpond/platform/_instances.py
@@ -19,6 +19,9 @@
 # Longest time for which an entry can make its server cold.
 MAX_COLD_LEFT_S = 3600.0
 
+# Largest number of an entry that is compared with others.
+MAX_SEQUENCE = 2**63 - 1
+
 # A number that the messages between nodes can carry.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
@@ -64,6 +67,8 @@
     born: _Count = 0
     # How long the server stays cold from the writing of the record, in milliseconds.
     coldLeftMs: float | None = None  # noqa: N815
+    # Number of the entry. It is checked apart: one of another type is left out of account.
+    seq: Any = None
     # Fabric domain; the members of a group are in the same one.
     domain: str | int | None = None
     # Models whose weights are stored on the host.
@@ -119,6 +124,7 @@
             model=ModelName(entry.models[0].name) if entry.models else None,
             membership=to_membership(entry.group),
             cold_left_s=_to_cold_left_s(entry.coldLeftMs),
+            sequence=_to_sequence(entry.seq),
         )
     )
 
@@ -129,6 +135,12 @@
     return min(max(0.0, cold_left_ms / 1000), MAX_COLD_LEFT_S)
 
 
+def _to_sequence(number: Any) -> int | None:
+    """Return the number of an entry; None if it is none that can be compared."""
+    is_number = isinstance(number, int) and not isinstance(number, bool)
+    return number if is_number and 0 <= number <= MAX_SEQUENCE else None
+
+
 def to_membership(reported: GroupReport | None) -> Membership | None:
     """Convert the membership that an instance reports.
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -200,6 +200,17 @@
     assert decode_instance("i-1", server_bytes(coldLeftMs=2900)).ok.cold_left_s == 2.9
 
 
+@pytest.mark.parametrize(("seq", "sequence"), [(0, 0), (2**63 - 1, 2**63 - 1), (None, None)])
+def test_entry_has_the_number_that_its_server_gave_it(seq, sequence):
+    assert decode_instance("i-1", server_bytes(seq=seq)).ok.sequence == sequence
+
+
+# Guards against a server that is not used because a number that only orders its entries is odd.
+@pytest.mark.parametrize("seq", ["4", 4.0, True, -1, 2**63, 2**80, [4], {}])
+def test_odd_number_of_an_entry_counts_as_none(seq):
+    assert decode_instance("i-1", server_bytes(seq=seq)).ok.sequence is None
+
+
 @pytest.mark.parametrize(
     ("text", "code"),
     [
