A draining server stays draining until a later entry of it says otherwise

What callers saw: a server that had reported draining got new requests again (DRAIN) when an entry of the same start, with the same number or without one, showed it as ready.

Cause: an entry that isn't provably older was taken, also where it takes back a leaving.

test_draining_instance_gets_no_new_work expected that a ready entry with the number of the draining one ends the draining. That was the fault, so it now asserts that such an entry does not and that one with a higher number does.

--- a/tests/fleet/test_older_entries.py
+++ b/tests/fleet/test_older_entries.py
@@ -122,3 +122,44 @@
     assert "a" in view.unavailable_since
     view.put(entry(8), 10.3)
     assert "a" not in view.unavailable_since
+
+
+# Guards against DRAIN: a server that said it is leaving is used again on an entry that isn't later.
+@both_ways
+@pytest.mark.parametrize("seq", [9, 8, None, "10"])
+def test_ready_entry_without_a_higher_number_does_not_end_draining(learn, seq):
+    view = FleetView()
+    view.put(entry(9, state="draining"), 1.0)
+    learn(view, entry(seq), 2.0)
+    assert view.accepting("pool") == [] and view.unavailable_since == {"a": 1.0}
+    learn(view, entry(10), 3.0)
+    assert view.accepting("pool") and not view.unavailable_since
+
+
+@both_ways
+def test_draining_without_any_numbers_ends_with_the_next_start_only(learn):
+    view = FleetView()
+    view.put(entry(None, state="draining"), 1.0)
+    learn(view, entry(None), 2.0)
+    assert view.accepting("pool") == []
+    learn(view, entry(None, born=BORN_MS + 1), 3.0)
+    assert view.accepting("pool") and not view.unavailable_since
+
+
+# Guards against a server that another writer has made draining for good.
+@both_ways
+def test_numbered_ready_entry_ends_draining_that_has_no_number(learn):
+    view = FleetView()
+    view.put(entry(None, state="draining"), 1.0)
+    learn(view, entry(3), 2.0)
+    assert view.accepting("pool") and not view.unavailable_since
+
+
+# Guards against a server that never drains because its entry has the number of the one before.
+@both_ways
+@pytest.mark.parametrize("seq", [4, None])
+def test_server_drains_on_an_entry_of_the_same_number(learn, seq):
+    view = FleetView()
+    view.put(entry(seq), 1.0)
+    learn(view, entry(seq, state="draining"), 2.0)
+    assert view.unavailable_since == {"a": 2.0}
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -68,7 +68,10 @@
     view.put(listed_instance("a", state="draining"), 3.0)
     assert view.accepting("pool") == [] and view.unavailable_since == {"a": 3.0}
     view.put(listed_instance("a"), 4.0)
+    assert view.accepting("pool") == [] and view.unavailable_since == {"a": 3.0}
+    view.put(listed_instance("a", seq=5), 5.0)
     assert [each.state for each in view.accepting("pool")] == [InstanceState.READY]
+    assert view.unavailable_since == {}
 
 
 def test_groups_are_assembled_by_rank_and_need_a_head():
