A removed server does not come back with an entry from before its removal

What callers saw: after a restoration of the store, a server that had been removed from the list was used again, or its group was (DRAIN, PARTIAL).

Cause: FleetView forgot all of a server with its removal, so any later entry counted as new.

An older entry is refused; after a removal by a record also one of the same number. An entry that a whole list only lacked may come back as it was, since it may have been lost with the copy.

--- a/briarpond/fleet/_outdated.py
+++ b/briarpond/fleet/_outdated.py
@@ -25,5 +25,13 @@
     return entry.sequence < known.sequence
 
 
+def has_same_number(entry: Instance, known: Instance) -> bool:
+    """Whether two entries are known to be the same one, of the same start and number."""
+    if not entry.started_at_ms or entry.sequence is None:
+        return False
+    number = (known.started_at_ms, known.sequence)
+    return (entry.started_at_ms, entry.sequence) == number
+
+
 def _ends_draining(entry: Instance, known: Instance) -> bool:
     return known.state is InstanceState.DRAINING and entry.state is InstanceState.READY
--- a/briarpond/fleet/_view.py
+++ b/briarpond/fleet/_view.py
@@ -8,6 +8,7 @@
 
 from ._models import Instance, InstanceState
 from ._outdated import is_outdated
+from ._removed import RemovedServers
 
 # Entries lapse during an outage of the store. Instances that are running register again
 # within this time after it, in seconds.
@@ -30,12 +31,15 @@
         Time at which this node first learnt of an entry of this start of the process.
     missing_since : float or None
         Time since which the entry has been missing; None if it is listed.
+    removed_by_record : bool
+        Whether it is missing because a record of the list has removed it.
     """
 
     instance: Instance
     listed_at: float
     start_known_at: float
     missing_since: float | None = None
+    removed_by_record: bool = False
 
 
 class FleetView:
@@ -61,6 +65,7 @@
     def __init__(self, first_start: bool = True) -> None:
         self._first_list_may_be_incomplete = not first_start
         self._entries: dict[InstanceId, _Entry] = {}
+        self._removed = RemovedServers()
         self._complete_from = 0.0
         # Whether an entry that is missing after the last outage still gets new work.
         self._missing_entries_usable = True
@@ -68,10 +73,30 @@
         self.version = 0
 
     def put(self, instance: Instance, now: float) -> bool:
-        """Add or replace an entry; return False, with no change, if it is older than the known."""
-        previous = self._entries.get(instance.id)
-        if previous is not None and is_outdated(instance, previous.instance):
+        """Add or replace an entry; return False if it is older than what is known of its server.
+
+        An older entry changes nothing, unless its server has been removed and it stays listed.
+        """
+        if self._refuses(instance, now):
             return False
+        self._take(instance, now)
+        return True
+
+    def _refuses(self, instance: Instance, now: float) -> bool:
+        """Whether an entry is older than what is known; one of a removed server is kept."""
+        entry = self._entries.get(instance.id)
+        known = None if entry is None else entry.instance
+        if known is None:
+            refuses = self._removed.precedes_removal(instance)
+        else:
+            refuses = is_outdated(instance, known)
+        if refuses and (entry is None or entry.missing_since is not None):
+            self._removed.hold_back(instance, known, now)
+        return refuses
+
+    def _take(self, instance: Instance, now: float) -> None:
+        self._removed.forget(instance.id)
+        previous = self._entries.get(instance.id)
         start_known_at = now
         if previous is not None and previous.instance.started_at_ms == instance.started_at_ms:
             start_known_at = previous.start_known_at
@@ -81,13 +106,20 @@
         else:
             self.unavailable_since.pop(instance.id, None)
         self.version += 1
-        return True
 
     def remove(self, instance: InstanceId, now: float) -> None:
-        """Remove an entry, or mark it as missing within the grace period of an outage."""
+        """Remove an entry, or mark it as missing within the grace period of an outage.
+
+        Called for a record of the list that removes the entry.
+        """
+        self._removed.unlist(instance)
+        self._remove(instance, True, now)
+
+    def _remove(self, instance: InstanceId, by_record: bool, now: float) -> None:
         entry = self._entries.get(instance)
         if entry is None:
             return
+        entry.removed_by_record |= by_record
         self.version += 1
         if now < self._complete_from:
             entry.missing_since = now
@@ -105,9 +137,10 @@
             self._first_list_may_be_incomplete = False
             self.outage_ended(now)
         listed = {instance.id: instance for instance in instances}
+        self._removed.unlist_others(set(listed))
         for instance_id in list(self._entries):
             if instance_id not in listed:
-                self.remove(instance_id, now)
+                self._remove(instance_id, False, now)
         return [each for each in listed.values() if not self._put_if_changed(each, now)]
 
     def _put_if_changed(self, instance: Instance, now: float) -> bool:
@@ -145,8 +178,11 @@
         """Drop entries that are still missing when the grace period has ended.
 
         Before that, entries that are missing for longer than `MISSING_ENTRY_USE_S` get
-        no new work.
+        no new work. Entries that were refused as older than the removal of their server are
+        taken if they have stayed listed.
         """
+        for instance in self._removed.expire(now):
+            self._take(instance, now)
         for instance_id, entry in list(self._entries.items()):
             if entry.missing_since is None:
                 continue
@@ -202,7 +238,8 @@
         ]
 
     def _drop(self, instance: InstanceId, now: float) -> None:
-        del self._entries[instance]
+        entry = self._entries.pop(instance)
+        self._removed.remember(entry.instance, entry.removed_by_record, now)
         self.unavailable_since.setdefault(instance, now)
 
 
