Retry budget: metrics and log lines of grants, refusals and repeated sends

Callers saw nothing. From the operators' record of repeats beyond the budget nobody can tell when a repeat was granted or sent, what the node's part was, or how many nodes it divided the fixed number by.

Change: counters of grants and refusals, gauges of what counts and what may, send_repeated for each send beyond the first, retry_refused at most once a second for a service. No decision is changed.

--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -6,7 +6,7 @@
     AdmissionDecision,
     decide_admission,
 )
-from ._budget import SharedRetryBudget
+from ._budget import RetryUsage, SharedRetryBudget
 from ._cold import ColdLimit, ColdSends
 from ._cost import AnswerLengths, LengthForecast
 from ._events import DamagedEventError, ResumableEventSplitter, count_events, has_fields
@@ -72,6 +72,7 @@
     "ResumePause",
     "SendFailure",
     "SendProgress",
+    "RetryUsage",
     "SharedRetryBudget",
     "StepPaces",
     "count_events",
--- a/briarpond/dispatch/_budget.py
+++ b/briarpond/dispatch/_budget.py
@@ -5,11 +5,31 @@
 
 from collections import deque
 
+import msgspec
+
 # Fraction of the budget that nodes use. The rest covers requests and retries that fall on
 # different sides of the window's edge, so that any window stays within the whole budget.
 USABLE_FRACTION = 0.8
 
 
+class RetryUsage(msgspec.Struct, frozen=True):
+    """What a node has used of its part of the limit.
+
+    Attributes
+    ----------
+    retries : int
+        Retries that count at present.
+    requests : int
+        Requests of callers in the window.
+    allowed : float
+        Retries that the node may count at once.
+    """
+
+    retries: int
+    requests: int
+    allowed: float
+
+
 class SharedRetryBudget:
     """Retries of one node to one service within a sliding window.
 
@@ -52,13 +72,19 @@
         now : float
             Monotonic time in seconds.
         """
-        self._discard_expired(now)
-        allowed = len(self._request_times) * self._ratio + self._slack / max(1, node_count)
-        if len(self._retry_times) + 1 > allowed * USABLE_FRACTION:
+        usage = self.usage(node_count, now)
+        if usage.retries + 1 > usage.allowed:
             return False
         self._retry_times.append(now)
         return True
 
+    def usage(self, node_count: int, now: float) -> RetryUsage:
+        """Return what is used, and what may be; parameters as in `try_acquire`."""
+        self._discard_expired(now)
+        requests = len(self._request_times)
+        allowed = requests * self._ratio + self._slack / max(1, node_count)
+        return RetryUsage(len(self._retry_times), requests, allowed * USABLE_FRACTION)
+
     def _discard_expired(self, now: float) -> None:
         window_start = now - self._window_s
         for times in (self._request_times, self._retry_times):
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -88,6 +88,31 @@
             "Requests refused because of the load of the groups, by reason and priority.",
             registry=self.registry,
         )
+        self.retries_granted = Counter(
+            "briarpond_gateway_retries_granted_total",
+            "Repeated sends that the retry budget has granted, by service.",
+            registry=self.registry,
+        )
+        self.retries_refused = Counter(
+            "briarpond_gateway_retries_refused_total",
+            "Refusals of the retry budget, by service and reason.",
+            registry=self.registry,
+        )
+        self.retries_counted = Gauge(
+            "briarpond_gateway_retries_counted",
+            "Repeated sends that count in the window of the retry budget, by service.",
+            registry=self.registry,
+        )
+        self.retries_allowed = Gauge(
+            "briarpond_gateway_retries_allowed",
+            "Repeated sends that may count at once at this node, by service.",
+            registry=self.registry,
+        )
+        self.retry_nodes = Gauge(
+            "briarpond_gateway_retry_nodes",
+            "Nodes among which the fixed part of the retry budget is divided.",
+            registry=self.registry,
+        )
         self.config_version = Gauge(
             "briarpond_gateway_config_version",
             "Version of the configuration in force.",
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -498,6 +498,7 @@
         state.node_count = members.count_nodes(now)
         state.cold_link.update_nodes(members.recently_live(RECENT_NODES_S, now), now)
         state.cold_sends(now)
+        state.publish_retry_usage(now)
         state.metrics.body_bytes.set({}, self._body_budget.used)
         listed = {listed_instance.id for listed_instance in state.fleet.all_instances()}
         state.load_tracker.prune(listed)
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -17,6 +17,18 @@
 from ._targets import ServerChoice, best_group, best_server
 
 
+class RetryGrant(msgspec.Struct):
+    """What the retry budget has granted to one request.
+
+    Attributes
+    ----------
+    granted_at : float or None
+        Time of the last grant; None before the first.
+    """
+
+    granted_at: float | None = None
+
+
 class RequestContext(msgspec.Struct, frozen=True):
     """A request of a caller, and where it belongs.
 
@@ -34,6 +46,8 @@
         The request.
     cost : RequestCost
         Expected and seen length of the answer.
+    grant : RetryGrant
+        What the retry budget has granted.
     """
 
     state: NodeState
@@ -42,6 +56,7 @@
     tenant: Tenant | None
     caller: CallerRequest
     cost: RequestCost = msgspec.field(default_factory=RequestCost)
+    grant: RetryGrant = msgspec.field(default_factory=RetryGrant)
 
     @property
     def runs_in_group(self) -> bool:
@@ -136,8 +151,23 @@
 
     def take_retry_budget(self, now: float) -> bool:
         """Whether the retry budget has room for another send; it is counted if so."""
-        budget = self.state.retry_budget(self.service)
-        return budget.try_acquire(self.state.node_count, now)
+        state = self.state
+        budget = state.retry_budget(self.service)
+        if budget.try_acquire(state.node_count, now):
+            self.grant.granted_at = now
+            state.retry_records.record_granted(self.service)
+            return True
+        usage = budget.usage(state.node_count, now)
+        state.retry_records.record_refused(self.service, "spent", usage, state.node_count, now)
+        return False
+
+    def record_repeat(self, server: InstanceId, now: float) -> None:
+        """Log a send beyond the first, whose first byte is about to leave."""
+        state = self.state
+        granted_at = self.grant.granted_at
+        held_s = 0.0 if granted_at is None else now - granted_at
+        usage = state.retry_budget(self.service).usage(state.node_count, now)
+        state.retry_records.record_sent(self.service, self.caller.id, server, held_s, usage)
 
     def may_hedge(self, progress: SendProgress, now: float) -> bool:
         """Whether the route and the sends so far permit another send beside one under way."""
--- a/briarpond/gateway/_request_sends.py
+++ b/briarpond/gateway/_request_sends.py
@@ -128,6 +128,8 @@
 
     def record_sent(self, send: Send) -> None:
         """Count a send whose first byte is about to leave."""
+        if self.sent:
+            self._context.record_repeat(send.server, self._context.state.clock.now())
         self.sent += 1
         self.possible_runs += 1
         self._ran_at.append(send.server)
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -43,6 +43,7 @@
 from ._kept_bytes import KeptBytes
 from ._metrics import GatewayMetrics
 from ._quarantine_link import QuarantineLink
+from ._retry_records import RetryRecords
 
 # What the planner tells of departed servers is relied on for the bound on requests to them,
 # less this time, in which a node can read the instance list itself.
@@ -130,6 +131,8 @@
         Memory that incomplete answers of servers take up.
     cold_link : ColdLink
         Pacing of requests to cold servers.
+    retry_records : RetryRecords
+        What the retry budgets grant and refuse.
     quarantine_link : QuarantineLink
         Prompt parts that end servers, and what is reported of them.
     evacuated : frozenset of DataCentre
@@ -166,6 +169,7 @@
         self.step_paces = StepPaces()
         self.admitted_shares: dict[HostedModel, AdmittedShare] = {}
         self.metrics = GatewayMetrics()
+        self.retry_records = RetryRecords(self.metrics)
         self.kept_bytes = KeptBytes()
         self.cold_link = ColdLink(settings.node, clock.now(), self._cold_until)
         self.quarantine_link = QuarantineLink(
@@ -221,6 +225,12 @@
         budget.configure(*limits)
         return budget
 
+    def publish_retry_usage(self, now: float) -> None:
+        """Set the metrics of the retry budgets."""
+        for service in self._retry_budgets:
+            usage = self.retry_budget(service).usage(self.node_count, now)
+            self.retry_records.update_gauges(service, usage, self.node_count)
+
     def accept_plan(
         self, plan: Plan, confirmed_at: float, list_known_at: float | None = None
     ) -> None:
