Node state is told which nodes are alive, not only how many

Callers see nothing. The count of nodes alone can't tell a node that is gone from one that is not seen for a moment. No decision is changed.

--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -225,6 +225,10 @@
         budget.configure(*limits)
         return budget
 
+    def update_nodes(self, nodes: frozenset[NodeId]) -> None:
+        """Replace the nodes that count as alive, this one included."""
+        self.node_count = len(nodes)
+
     def publish_retry_usage(self, now: float) -> None:
         """Set the metrics of the retry budgets."""
         for service in self._retry_budgets:
