Retry budget: a repeat counts until one window after it was sent, not granted

Cause: a grant counted from when it was given. A held stream, or one whose connect takes long, is sent seconds later; its grant leaves the window before the repeat does, and the part is spent twice.

A grant of a connect that failed was not used again either, so that one repeat took two.

Change: a grant counts until its send begins or its request ends; a sent repeat counts for a window from then on. A send that no grant stands for counts too (held_ms=-1). Times of requests that left the window are dropped also at a node that repeats nothing.

--- a/briarpond/dispatch/_budget.py
+++ b/briarpond/dispatch/_budget.py
@@ -18,7 +18,9 @@
     Attributes
     ----------
     retries : int
-        Retries that count at present.
+        Retries that count at present, those that are granted and not yet sent included.
+    unsent : int
+        Retries among them that are not yet sent.
     requests : int
         Requests of callers in the window.
     allowed : float
@@ -26,6 +28,7 @@
     """
 
     retries: int
+    unsent: int
     requests: int
     allowed: float
 
@@ -34,7 +37,8 @@
     """Retries of one node to one service within a sliding window.
 
     A node may retry a fraction of its own requests, and has an equal part of a fixed
-    allowance; the sum over all nodes stays within the whole budget.
+    allowance; the sum over all nodes stays within the whole budget. A retry counts from its
+    grant until one window after it was sent, which may be seconds after the grant.
 
     Parameters
     ----------
@@ -49,7 +53,8 @@
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
         self._request_times: deque[float] = deque()
-        self._retry_times: deque[float] = deque()
+        self._sent_times: deque[float] = deque()
+        self._unsent = 0
         self.configure(ratio, slack, window_s)
 
     def configure(self, ratio: float, slack: float, window_s: float) -> None:
@@ -61,10 +66,13 @@
     def record_request(self, now: float) -> None:
         """Count a caller's request for the service, which raises the budget."""
         self._request_times.append(now)
+        self._discard_expired(now)
 
     def try_acquire(self, node_count: int, now: float) -> bool:
         """Count a retry if the budget allows it; return whether it does.
 
+        The caller owes `record_sent` or `release` for each retry that is granted.
+
         Parameters
         ----------
         node_count : int
@@ -75,18 +83,29 @@
         usage = self.usage(node_count, now)
         if usage.retries + 1 > usage.allowed:
             return False
-        self._retry_times.append(now)
+        self._unsent += 1
         return True
 
+    def record_sent(self, now: float, was_granted: bool = True) -> None:
+        """Count a retry as sent now, even one that was never granted."""
+        if was_granted:
+            self._unsent -= 1
+        self._sent_times.append(now)
+
+    def release(self) -> None:
+        """Give back the grant of a retry that is not going to be sent."""
+        self._unsent -= 1
+
     def usage(self, node_count: int, now: float) -> RetryUsage:
         """Return what is used, and what may be; parameters as in `try_acquire`."""
         self._discard_expired(now)
         requests = len(self._request_times)
         allowed = requests * self._ratio + self._slack / max(1, node_count)
-        return RetryUsage(len(self._retry_times), requests, allowed * USABLE_FRACTION)
+        retries = len(self._sent_times) + self._unsent
+        return RetryUsage(retries, self._unsent, requests, allowed * USABLE_FRACTION)
 
     def _discard_expired(self, now: float) -> None:
         window_start = now - self._window_s
-        for times in (self._request_times, self._retry_times):
+        for times in (self._request_times, self._sent_times):
             while times and times[0] < window_start:
                 times.popleft()
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -496,7 +496,7 @@
         now = self._clock.now()
         members = self._peers.sync.members
         live = {member.node for member in members.live(now)}
-        state.update_nodes(frozenset({self._settings.node, *live}))
+        state.update_nodes(frozenset({self._settings.node, *live}), now)
         state.cold_link.update_nodes(members.recently_live(RECENT_NODES_S, now), now)
         state.cold_sends(now)
         state.publish_retry_usage(now)
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -18,15 +18,15 @@
 
 
 class RetryGrant(msgspec.Struct):
-    """What the retry budget has granted to one request.
+    """The send that the retry budget has granted to one request.
 
     Attributes
     ----------
-    granted_at : float or None
-        Time of the last grant; None before the first.
+    unsent_since : float or None
+        Time of a grant whose send has not begun; None without one.
     """
 
-    granted_at: float | None = None
+    unsent_since: float | None = None
 
 
 class RequestContext(msgspec.Struct, frozen=True):
@@ -150,11 +150,17 @@
         return self.state.quarantine.is_suspect(self.caller.prompt_parts, now)
 
     def take_retry_budget(self, now: float) -> bool:
-        """Whether the retry budget has room for another send; it is counted if so."""
+        """Whether the retry budget has room for another send; it is counted if so.
+
+        A grant whose send did not begin is used again: no send is about to use it, since one
+        is asked for only when all sends under way have begun.
+        """
+        if self.grant.unsent_since is not None:
+            return True
         state = self.state
         budget = state.retry_budget(self.service)
         if budget.try_acquire(state.node_count, now):
-            self.grant.granted_at = now
+            self.grant.unsent_since = now
             state.retry_records.record_granted(self.service)
             return True
         usage = budget.usage(state.node_count, now)
@@ -162,13 +168,22 @@
         return False
 
     def record_repeat(self, server: InstanceId, now: float) -> None:
-        """Log a send beyond the first, whose first byte is about to leave."""
+        """Count and log a send beyond the first, whose first byte is about to leave."""
         state = self.state
-        granted_at = self.grant.granted_at
-        held_s = 0.0 if granted_at is None else now - granted_at
-        usage = state.retry_budget(self.service).usage(state.node_count, now)
+        budget = state.retry_budget(self.service)
+        granted_at = self.grant.unsent_since
+        self.grant.unsent_since = None
+        budget.record_sent(now, granted_at is not None)
+        usage = budget.usage(state.node_count, now)
+        held_s = None if granted_at is None else now - granted_at
         state.retry_records.record_sent(self.service, self.caller.id, server, held_s, usage)
 
+    def release_retry_budget(self) -> None:
+        """Give back a grant whose send has not begun, since the request has ended."""
+        if self.grant.unsent_since is not None:
+            self.grant.unsent_since = None
+            self.state.retry_budget(self.service).release()
+
     def may_hedge(self, progress: SendProgress, now: float) -> bool:
         """Whether the route and the sends so far permit another send beside one under way."""
         remaining_s = self.caller.expires_at - now
--- a/briarpond/gateway/_retry_records.py
+++ b/briarpond/gateway/_retry_records.py
@@ -58,6 +58,7 @@
             reason=reason,
             refusals=self._refused.pop(service),
             counted=usage.retries,
+            unsent=usage.unsent,
             allowed=usage.allowed,
             requests=usage.requests,
             nodes=nodes,
@@ -68,7 +69,7 @@
         service: ServiceName,
         request_id: str | None,
         server: InstanceId,
-        held_s: float,
+        held_s: float | None,
         usage: RetryUsage,
     ) -> None:
         """Log a repeat whose first byte is about to leave.
@@ -81,8 +82,8 @@
             Id of the request.
         server : InstanceId
             Server that it goes to.
-        held_s : float
-            Seconds since the budget has granted it.
+        held_s : float or None
+            Seconds since the budget has granted it; None if it has not.
         usage : RetryUsage
             What is used of the budget.
         """
@@ -91,7 +92,7 @@
             id=request_id,
             service=service,
             server=server,
-            held_ms=int(held_s * 1000),
+            held_ms=-1 if held_s is None else int(held_s * 1000),
             counted=usage.retries,
             allowed=usage.allowed,
         )
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -411,6 +411,7 @@
     def _finish(self, outcome: Outcome) -> None:
         self.done = True
         self.held = False
+        self._context.release_retry_budget()
         # Request and sends refer to each other, and cyclic garbage may stay for long.
         self._caller.http.body = b""
         now = self._state.clock.now()
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -225,7 +225,7 @@
         budget.configure(*limits)
         return budget
 
-    def update_nodes(self, nodes: frozenset[NodeId]) -> None:
+    def update_nodes(self, nodes: frozenset[NodeId], now: float) -> None:
         """Replace the nodes that count as alive, this one included."""
         self.node_count = len(nodes)
 
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -61,6 +61,7 @@
             budget.record_request(now)
             requests += 1
             while budget.try_acquire(nodes, now):
+                budget.record_sent(now)
                 retries.append(now)
         retries_in_window = sum(1 for at in retries if at > now - window)
         requests_in_window = min(requests, int(window / 0.1) * nodes)
--- /dev/null
+++ b/tests/gateway/test_repeats_of_all_nodes.py
@@ -0,0 +1,42 @@
+"""Repeats of all nodes together stay within the rule, in any window, as nodes come and go."""
+
+import pytest
+
+from .repeating_nodes import RepeatingNodes
+
+NAMES = ["n1", "n2", "n3", "n4"]
+# Before it, the nodes know each other and all is sound.
+CALM_S = 20.0
+
+
+@pytest.fixture
+def system(tmp_path):
+    """Nodes that have run for `CALM_S` seconds."""
+    system = RepeatingNodes(tmp_path, NAMES, 1)
+    system.clock.advance(CALM_S)
+    return system
+
+
+def fail(system, kind, seconds):
+    """Let all sends fail for some seconds from now on."""
+    now = system.clock.now()
+    system.failures.append((now, now + seconds, kind))
+
+
+@pytest.mark.parametrize("kind", ["lost", "full"])
+def test_nodes_that_know_each_other_keep_the_rule_and_use_most_of_it(system, kind):
+    fail(system, kind, 20.0)
+    system.clock.advance(25.0)
+    assert system.excess() <= 0
+    bounds = system.limits
+    assert len(system.repeated_at) > 0.6 * bounds.retry_slack
+
+
+# Guards against repeats that are sent when their grants no longer count.
+def test_repeats_of_held_streams_keep_the_rule(system):
+    system.lose_streams(full_s=2.5)
+    system.clock.advance(10.1)
+    fail(system, "lost", 3.0)
+    system.clock.advance(5.0)
+    assert len(system.repeated_at) > system.limits.retry_slack
+    assert system.excess() <= 0
--- a/tests/gateway/test_retry_records.py
+++ b/tests/gateway/test_retry_records.py
@@ -5,7 +5,7 @@
 from briarpond.gateway import _retry_records
 from briarpond.net import LossReason
 
-from .silent_servers import NOT_EXECUTED
+from .silent_servers import BEGUN_SILENCE_S, NOT_EXECUTED, begin_answer
 from .world import Gateway
 
 
@@ -59,3 +59,68 @@
     assert values(metrics.retries_counted) == {(("service", "pool"),): 1}
     assert values(metrics.retries_allowed)[(("service", "pool"),)] > 1
     assert values(metrics.retry_nodes) == {(): 1}
+
+
+# Guards against repeats that leave when their grants have left the window.
+def test_held_repeat_counts_from_when_it_is_sent(tmp_path, logged):
+    gateway = Gateway(tmp_path)
+    gateway.ingress.start()
+    budget = gateway.state.retry_budget("pool")
+    gateway.send_stream_request(deadline_ms=8000)
+    first = gateway.client.sent[0]
+    begin_answer(first, 0)
+    granted_at = gateway.clock.now()
+    for group in gateway.state.groups(granted_at):
+        gateway.state.load_tracker.mark_full(group.head, granted_at + 3.0)
+    first.call.on_lost(LossReason.CONNECTION_LOST)
+    gateway.clock.advance(4.0)
+    ((name, fields),) = logged
+    assert name == "send_repeated" and fields["held_ms"] >= 3000
+    sent_at = granted_at + fields["held_ms"] / 1000
+    begin_answer(gateway.client.sent[1], 1)
+    gateway.client.sent[1].call.on_end()
+    window_s = gateway.state.settings.bounds.retry_window_s
+    assert budget.usage(1, sent_at + window_s - 0.1).retries == 1
+    assert budget.usage(1, sent_at + window_s + 0.1).retries == 0
+
+
+# Guards against grants that nobody gives back: they would count for good.
+@pytest.mark.parametrize("end", ["caller", "timeout", "stop"])
+def test_request_that_ends_gives_its_unsent_grant_back(tmp_path, end):
+    gateway = Gateway(tmp_path)
+    budget = gateway.state.retry_budget("pool")
+    reply = gateway.send_stream_request(deadline_ms=2000)
+    begin_answer(gateway.client.sent[0], 0)
+    for group in gateway.state.groups(gateway.clock.now()):
+        gateway.state.load_tracker.mark_full(group.head, gateway.clock.now() + 30.0)
+    gateway.client.sent[0].call.on_lost(LossReason.CONNECTION_LOST)
+    assert budget.usage(1, gateway.clock.now()).unsent == 1
+    match end:
+        case "caller":
+            reply.on_disconnect()
+        case "timeout":
+            gateway.clock.advance(3.0)
+        case "stop":
+            gateway.ingress.end_all()
+    usage = budget.usage(1, gateway.clock.now())
+    assert usage.unsent == 0 and usage.retries == 0
+
+
+# Guards against a second grant for a connect that failed: one repeat has used two.
+def test_repeat_after_a_failed_connect_uses_the_same_grant(tmp_path, logged):
+    gateway = Gateway(tmp_path)
+    gateway.ingress.start()
+    budget = gateway.state.retry_budget("pool")
+    gateway.send_stream_request()
+    first = gateway.client.sent[0]
+    begin_answer(first, 0)
+    addresses = {group.address for group in gateway.state.groups(gateway.clock.now())}
+    gateway.client.refusing = addresses - {first.call.address}
+    gateway.clock.advance(BEGUN_SILENCE_S)
+    assert len(gateway.client.sent) == 1
+    assert budget.usage(1, gateway.clock.now()).retries == 1
+    gateway.client.refusing = set()
+    gateway.clock.advance(2.0)
+    assert [name for name, _ in logged] == ["send_repeated"]
+    usage = budget.usage(1, gateway.clock.now())
+    assert usage.retries == 1 and usage.unsent == 0
