Retry budget: a new process uses 0.2 of its fixed part in the first window

Cause: what a process has sent is forgotten with it. The one that is started after it has the whole part again, within the same window.

Change: BudgetNodes.share gives START_FRACTION of the fixed part for a window after the start; 0.8 x (1 + 0.2) of a part is less than one. New reason new_process, gauge retry_share.

Result: in turn, and all at once with lost connections, at or below 0.

--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -7,7 +7,7 @@
     decide_admission,
 )
 from ._budget import RetryUsage, SharedRetryBudget
-from ._budget_nodes import SHARE_HOLD_S, BudgetNodes
+from ._budget_nodes import SHARE_HOLD_S, START_FRACTION, BudgetNodes, BudgetShare
 from ._cold import ColdLimit, ColdSends
 from ._cost import AnswerLengths, LengthForecast
 from ._events import DamagedEventError, ResumableEventSplitter, count_events, has_fields
@@ -56,6 +56,7 @@
     "AdmittedShare",
     "AnswerLengths",
     "BudgetNodes",
+    "BudgetShare",
     "ColdLimit",
     "ColdSends",
     "DamagedEventError",
@@ -76,6 +77,7 @@
     "SendProgress",
     "RetryUsage",
     "SHARE_HOLD_S",
+    "START_FRACTION",
     "SharedRetryBudget",
     "StepPaces",
     "count_events",
--- a/briarpond/dispatch/_budget.py
+++ b/briarpond/dispatch/_budget.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ._budget_nodes import BudgetShare
+
 # Fraction of the budget that nodes use. The rest covers requests and retries that fall on
 # different sides of the window's edge, so that any window stays within the whole budget.
 USABLE_FRACTION = 0.8
@@ -36,9 +38,9 @@
 class SharedRetryBudget:
     """Retries of one node to one service within a sliding window.
 
-    A node may retry a fraction of its own requests, and has an equal part of a fixed
-    allowance; the sum over all nodes stays within the whole budget. A retry counts from its
-    grant until one window after it was sent, which may be seconds after the grant.
+    A node may retry a fraction of its own requests, and has a part of a fixed allowance; the sum
+    over all nodes stays within the whole budget. A retry counts from its grant until one window
+    after it was sent, which may be seconds after the grant.
 
     Parameters
     ----------
@@ -68,19 +70,19 @@
         self._request_times.append(now)
         self._discard_expired(now)
 
-    def try_acquire(self, node_count: int, now: float) -> bool:
+    def try_acquire(self, share: BudgetShare, now: float) -> bool:
         """Count a retry if the budget allows it; return whether it does.
 
         The caller owes `record_sent` or `release` for each retry that is granted.
 
         Parameters
         ----------
-        node_count : int
-            Nodes that share the fixed allowance, this one included (`BudgetNodes`).
+        share : BudgetShare
+            Part of the fixed allowance that this node may use.
         now : float
             Monotonic time in seconds.
         """
-        usage = self.usage(node_count, now)
+        usage = self.usage(share, now)
         if usage.retries + 1 > usage.allowed:
             return False
         self._unsent += 1
@@ -96,11 +98,11 @@
         """Give back the grant of a retry that is not going to be sent."""
         self._unsent -= 1
 
-    def usage(self, node_count: int, now: float) -> RetryUsage:
+    def usage(self, share: BudgetShare, now: float) -> RetryUsage:
         """Return what is used, and what may be; parameters as in `try_acquire`."""
         self._discard_expired(now)
         requests = len(self._request_times)
-        allowed = requests * self._ratio + self._slack / max(1, node_count)
+        allowed = requests * self._ratio + self._slack * share.of_whole
         retries = len(self._sent_times) + self._unsent
         return RetryUsage(retries, self._unsent, requests, allowed * USABLE_FRACTION)
 
--- a/briarpond/dispatch/_budget_nodes.py
+++ b/briarpond/dispatch/_budget_nodes.py
@@ -2,11 +2,37 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from briarpond.ids import NodeId
 
 # For this long a node that is not seen keeps its part. It may be cut off and still send; a part
 # that is taken back too early would be spent twice, one that is kept too long is only not used.
 SHARE_HOLD_S = 300.0
+# Fraction of its fixed part that a process uses in the first window after its start: the process
+# that ran there before may have used all of it in the same window. With `USABLE_FRACTION` both
+# together stay within the part.
+START_FRACTION = 0.2
+
+
+class BudgetShare(msgspec.Struct, frozen=True):
+    """Part of the fixed allowance that a node may use.
+
+    Attributes
+    ----------
+    nodes : int
+        Nodes that have equal parts.
+    fraction : float
+        Fraction of its part that the node may use at present.
+    """
+
+    nodes: int
+    fraction: float = 1.0
+
+    @property
+    def of_whole(self) -> float:
+        """Fraction of the whole allowance."""
+        return self.fraction / self.nodes
 
 
 class BudgetNodes:
@@ -14,9 +40,15 @@
 
     A node that is no longer seen keeps its part for `SHARE_HOLD_S` seconds, so that the parts of
     the others do not grow while it may still spend its own.
+
+    Parameters
+    ----------
+    started_at : float
+        Time of the start of this process.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, started_at: float) -> None:
+        self._started_at = started_at
         self._seen_at: dict[NodeId, float] = {}
 
     def update(self, nodes: Iterable[NodeId], now: float) -> None:
@@ -34,7 +66,15 @@
                 del self._seen_at[node]
         self._seen_at.update(dict.fromkeys(nodes, now))
 
-    @property
-    def count(self) -> int:
-        """Number of nodes that have a part; 1 before the first update."""
-        return max(1, len(self._seen_at))
+    def share(self, window_s: float, now: float) -> BudgetShare:
+        """Return the part of this node.
+
+        Parameters
+        ----------
+        window_s : float
+            Length of the budget's window in seconds.
+        now : float
+            Monotonic time in seconds.
+        """
+        is_new = now - self._started_at <= window_s
+        return BudgetShare(max(1, len(self._seen_at)), START_FRACTION if is_new else 1.0)
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -113,6 +113,11 @@
             "Nodes among which the fixed part of the retry budget is divided.",
             registry=self.registry,
         )
+        self.retry_share = Gauge(
+            "briarpond_gateway_retry_share",
+            "Fraction of the fixed part of the retry budget that this node may use.",
+            registry=self.registry,
+        )
         self.config_version = Gauge(
             "briarpond_gateway_config_version",
             "Version of the configuration in force.",
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -159,13 +159,13 @@
             return True
         state = self.state
         budget = state.retry_budget(self.service)
-        nodes = state.budget_nodes.count
-        if budget.try_acquire(nodes, now):
+        share = state.retry_share(now)
+        if budget.try_acquire(share, now):
             self.grant.unsent_since = now
             state.retry_records.record_granted(self.service)
             return True
-        usage = budget.usage(nodes, now)
-        state.retry_records.record_refused(self.service, "spent", usage, nodes, now)
+        usage = budget.usage(share, now)
+        state.retry_records.record_refused(self.service, usage, share, now)
         return False
 
     def record_repeat(self, server: InstanceId, now: float) -> None:
@@ -175,7 +175,7 @@
         granted_at = self.grant.unsent_since
         self.grant.unsent_since = None
         budget.record_sent(now, granted_at is not None)
-        usage = budget.usage(state.budget_nodes.count, now)
+        usage = budget.usage(state.retry_share(now), now)
         held_s = None if granted_at is None else now - granted_at
         state.retry_records.record_sent(self.service, self.caller.id, server, held_s, usage)
 
--- a/briarpond/gateway/_retry_records.py
+++ b/briarpond/gateway/_retry_records.py
@@ -1,6 +1,6 @@
 """What the logs and metrics tell of the retry budget."""
 
-from briarpond.dispatch import RetryUsage
+from briarpond.dispatch import BudgetShare, RetryUsage
 from briarpond.ids import InstanceId, ServiceName
 from briarpond.logs import log_event
 
@@ -30,7 +30,7 @@
         self._metrics.retries_granted.inc({"service": service})
 
     def record_refused(
-        self, service: ServiceName, reason: str, usage: RetryUsage, nodes: int, now: float
+        self, service: ServiceName, usage: RetryUsage, share: BudgetShare, now: float
     ) -> None:
         """Count a refusal, and log it unless another one was logged just before.
 
@@ -38,15 +38,14 @@
         ----------
         service : ServiceName
             Service whose budget it is.
-        reason : str
-            Why the budget has no room.
         usage : RetryUsage
             What is used of the budget.
-        nodes : int
-            Nodes among which the fixed part is divided.
+        share : BudgetShare
+            Part of the fixed number that the node may use.
         now : float
             Present time.
         """
+        reason = _refusal_reason(share)
         self._metrics.retries_refused.inc({"service": service, "reason": reason})
         self._refused[service] = self._refused.get(service, 0) + 1
         if now - self._logged_at.get(service, float("-inf")) < REFUSAL_LOG_INTERVAL_S:
@@ -61,7 +60,8 @@
             unsent=usage.unsent,
             allowed=usage.allowed,
             requests=usage.requests,
-            nodes=nodes,
+            nodes=share.nodes,
+            fraction=share.fraction,
         )
 
     def record_sent(
@@ -97,8 +97,14 @@
             allowed=usage.allowed,
         )
 
-    def update_gauges(self, service: ServiceName, usage: RetryUsage, nodes: int) -> None:
+    def update_gauges(self, service: ServiceName, usage: RetryUsage, share: BudgetShare) -> None:
         """Publish what is used of the budget of a service."""
         self._metrics.retries_counted.set({"service": service}, usage.retries)
         self._metrics.retries_allowed.set({"service": service}, usage.allowed)
-        self._metrics.retry_nodes.set({}, nodes)
+        self._metrics.retry_nodes.set({}, share.nodes)
+        self._metrics.retry_share.set({}, share.of_whole)
+
+
+def _refusal_reason(share: BudgetShare) -> str:
+    """Return why a budget without room has none: its whole part is used, or not all may be."""
+    return "spent" if share.fraction == 1 else "new_process"
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -23,6 +23,7 @@
     AdmittedShare,
     AnswerLengths,
     BudgetNodes,
+    BudgetShare,
     ColdSends,
     EventGapTracker,
     GroupPreferences,
@@ -184,7 +185,7 @@
         self.plan: Plan | None = None
         self.planner: NodeId | None = None
         self.node_count = 1
-        self.budget_nodes = BudgetNodes()
+        self.budget_nodes = BudgetNodes(clock.now())
         self.list_known_until: Callable[[], float | None] = lambda: None
         self._plan_confirmed_at = float("-inf")
         self._plan_list_known_at = float("-inf")
@@ -234,12 +235,16 @@
         self.node_count = len(nodes)
         self.budget_nodes.update(nodes, now)
 
+    def retry_share(self, now: float) -> BudgetShare:
+        """Return this node's part of the fixed number of repeats."""
+        return self.budget_nodes.share(self.settings.bounds.retry_window_s, now)
+
     def publish_retry_usage(self, now: float) -> None:
         """Set the metrics of the retry budgets."""
-        nodes = self.budget_nodes.count
+        share = self.retry_share(now)
         for service in self._retry_budgets:
-            usage = self.retry_budget(service).usage(nodes, now)
-            self.retry_records.update_gauges(service, usage, nodes)
+            usage = self.retry_budget(service).usage(share, now)
+            self.retry_records.update_gauges(service, usage, share)
 
     def accept_plan(
         self, plan: Plan, confirmed_at: float, list_known_at: float | None = None
--- a/tests/dispatch/test_budget.py
+++ b/tests/dispatch/test_budget.py
@@ -1,6 +1,6 @@
 """Retry budget of one node: which repeats count, and until when."""
 
-from briarpond.dispatch import SharedRetryBudget
+from briarpond.dispatch import BudgetShare, SharedRetryBudget
 
 RATIO, SLACK, WINDOW_S = 0.2, 10.0, 10.0
 
@@ -11,7 +11,7 @@
 
 def acquire_all(budget, now):
     granted = 0
-    while budget.try_acquire(1, now):
+    while budget.try_acquire(BudgetShare(1), now):
         granted += 1
     return granted
 
@@ -42,7 +42,7 @@
     for tick in range(100_000):
         now = tick * 0.01
         budget.record_request(now)
-        if budget.try_acquire(1, now):
+        if budget.try_acquire(BudgetShare(1), now):
             budget.record_sent(now)
     assert len(budget._request_times) <= 1 + WINDOW_S / 0.01
     assert len(budget._sent_times) <= RATIO * WINDOW_S / 0.01 + SLACK
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -6,6 +6,7 @@
 
 from briarpond.dispatch import (
     AdmissionAction,
+    BudgetShare,
     EventGapTracker,
     LoadTracker,
     RequestSize,
@@ -60,7 +61,7 @@
         for budget in budgets:
             budget.record_request(now)
             requests += 1
-            while budget.try_acquire(nodes, now):
+            while budget.try_acquire(BudgetShare(nodes), now):
                 budget.record_sent(now)
                 retries.append(now)
         retries_in_window = sum(1 for at in retries if at > now - window)
--- a/tests/gateway/test_changed_configuration.py
+++ b/tests/gateway/test_changed_configuration.py
@@ -9,6 +9,7 @@
 import pytest
 
 from briarpond.directory import GroupTarget, Plan, PlanLog, PlanVersion, RoutingTargets
+from briarpond.dispatch import BudgetShare
 from briarpond.gateway._planner_link import PlannerRunner
 from briarpond.net import Address
 from briarpond.platform import decode_configuration, decode_instance
@@ -164,11 +165,11 @@
     """Settings are read again at SIGHUP; requests and retries so far go on to count."""
     state, now = node.state, node.clock.now()
     budget = state.retry_budget("desk")
-    assert budget.try_acquire(1, now)
+    assert budget.try_acquire(BudgetShare(1), now)
     bounds = msgspec.structs.replace(state.settings.bounds, retry_ratio=0.0, retry_slack=1.0)
     state.settings = msgspec.structs.replace(state.settings, bounds=bounds)
     assert state.retry_budget("desk") is budget
-    assert not budget.try_acquire(1, now)
+    assert not budget.try_acquire(BudgetShare(1), now)
 
 
 def test_groups_of_a_service_that_is_removed_are_closed(node):
--- a/tests/gateway/test_repeats_of_all_nodes.py
+++ b/tests/gateway/test_repeats_of_all_nodes.py
@@ -51,3 +51,23 @@
     system.clock.advance(12.0)
     assert len(system.repeated_at) > 0.6 * system.limits.retry_slack
     assert system.excess() <= 0
+
+
+# Guards against a part that is spent twice: by a process, and by the one that is started after it.
+@pytest.mark.parametrize(
+    ("killed", "kind"),
+    [("n1 n2 n3 n4", "full"), ("n1 n2 n3 n4", "lost"), ("n1,n2,n3,n4", "lost")],
+)
+def test_nodes_that_are_killed_and_started_again_keep_the_rule(system, killed, kind):
+    fail(system, kind, 20.0)
+    system.clock.advance(5.0)
+    for names in killed.split():
+        for name in names.split(","):
+            system.kill(name)
+        system.clock.advance(0.8)
+        for name in names.split(","):
+            system.start(name)
+        system.clock.advance(0.7)
+    system.clock.advance(12.0)
+    assert len(system.repeated_at) > 0.6 * system.limits.retry_slack
+    assert system.excess() <= 0
--- a/tests/gateway/test_retry_records.py
+++ b/tests/gateway/test_retry_records.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from briarpond.dispatch import BudgetShare
 from briarpond.gateway import _retry_records
 from briarpond.net import LossReason
 
@@ -52,13 +53,14 @@
 
 def test_gauges_tell_what_is_used(tmp_path):
     gateway = Gateway(tmp_path)
+    gateway.clock.advance(2 * gateway.state.settings.bounds.retry_window_s)
     gateway.send_stream_request()
     gateway.client.sent[0].answer_head(503, NOT_EXECUTED)
     gateway.state.publish_retry_usage(gateway.clock.now())
     metrics = gateway.state.metrics
     assert values(metrics.retries_counted) == {(("service", "pool"),): 1}
     assert values(metrics.retries_allowed)[(("service", "pool"),)] > 1
-    assert values(metrics.retry_nodes) == {(): 1}
+    assert values(metrics.retry_nodes) == {(): 1} and values(metrics.retry_share) == {(): 1}
 
 
 # Guards against repeats that leave when their grants have left the window.
@@ -80,8 +82,8 @@
     begin_answer(gateway.client.sent[1], 1)
     gateway.client.sent[1].call.on_end()
     window_s = gateway.state.settings.bounds.retry_window_s
-    assert budget.usage(1, sent_at + window_s - 0.1).retries == 1
-    assert budget.usage(1, sent_at + window_s + 0.1).retries == 0
+    assert budget.usage(BudgetShare(1), sent_at + window_s - 0.1).retries == 1
+    assert budget.usage(BudgetShare(1), sent_at + window_s + 0.1).retries == 0
 
 
 # Guards against grants that nobody gives back: they would count for good.
@@ -94,7 +96,7 @@
     for group in gateway.state.groups(gateway.clock.now()):
         gateway.state.load_tracker.mark_full(group.head, gateway.clock.now() + 30.0)
     gateway.client.sent[0].call.on_lost(LossReason.CONNECTION_LOST)
-    assert budget.usage(1, gateway.clock.now()).unsent == 1
+    assert budget.usage(BudgetShare(1), gateway.clock.now()).unsent == 1
     match end:
         case "caller":
             reply.on_disconnect()
@@ -102,7 +104,7 @@
             gateway.clock.advance(3.0)
         case "stop":
             gateway.ingress.end_all()
-    usage = budget.usage(1, gateway.clock.now())
+    usage = budget.usage(BudgetShare(1), gateway.clock.now())
     assert usage.unsent == 0 and usage.retries == 0
 
 
@@ -118,9 +120,9 @@
     gateway.client.refusing = addresses - {first.call.address}
     gateway.clock.advance(BEGUN_SILENCE_S)
     assert len(gateway.client.sent) == 1
-    assert budget.usage(1, gateway.clock.now()).retries == 1
+    assert budget.usage(BudgetShare(1), gateway.clock.now()).retries == 1
     gateway.client.refusing = set()
     gateway.clock.advance(2.0)
     assert [name for name, _ in logged] == ["send_repeated"]
-    usage = budget.usage(1, gateway.clock.now())
+    usage = budget.usage(BudgetShare(1), gateway.clock.now())
     assert usage.retries == 1 and usage.unsent == 0
