Retry budget: no fixed part before a process knows the other nodes

Cause: the number of nodes began at 1, and 'no other node' was taken for 'alone'. A process that was just started, or cannot reach the others, took the whole fixed number.

Change: a process has a fixed part from 3 s after it has seen another node. One that was told of others (seeds) and sees none has none, however long that takes; one without seeds is alone 3 s after its start. Refusals name the reason nodes_unknown. Gateways of the test bench have run for 30 s, unless they are new.

--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -7,7 +7,13 @@
     decide_admission,
 )
 from ._budget import RetryUsage, SharedRetryBudget
-from ._budget_nodes import SHARE_HOLD_S, START_FRACTION, BudgetNodes, BudgetShare
+from ._budget_nodes import (
+    KNOWN_AFTER_S,
+    SHARE_HOLD_S,
+    START_FRACTION,
+    BudgetNodes,
+    BudgetShare,
+)
 from ._cold import ColdLimit, ColdSends
 from ._cost import AnswerLengths, LengthForecast
 from ._events import DamagedEventError, ResumableEventSplitter, count_events, has_fields
@@ -48,6 +54,7 @@
 
 __all__ = [
     "HOLD_GOAL_FRACTION",
+    "KNOWN_AFTER_S",
     "MAX_SENDS_OF_BEGUN_STREAM",
     "MIN_REMAINING_S",
     "PRESSURE_HOLD_FRACTION",
--- a/briarpond/dispatch/_budget_nodes.py
+++ b/briarpond/dispatch/_budget_nodes.py
@@ -13,6 +13,9 @@
 # ran there before may have used all of it in the same window. With `USABLE_FRACTION` both together
 # stay within the part.
 START_FRACTION = 0.2
+# A process knows the other nodes this long after it has seen the first of them, or after its start
+# if it expects none: by then it has asked those that it was told of.
+KNOWN_AFTER_S = 3.0
 
 
 class BudgetShare(msgspec.Struct, frozen=True):
@@ -46,12 +49,20 @@
 
     Parameters
     ----------
+    own : NodeId
+        This node.
     started_at : float
         Time of the start of this process.
+    expects_others : bool
+        Whether this process was told of other nodes. Until it sees one, it does not know how
+        many there are, however long that takes.
     """
 
-    def __init__(self, started_at: float) -> None:
+    def __init__(self, own: NodeId, started_at: float, expects_others: bool) -> None:
+        self._own = own
         self._started_at = started_at
+        self._expects_others = expects_others
+        self._others_since: float | None = None
         self._seen_at: dict[NodeId, float] = {}
 
     def update(self, nodes: Iterable[NodeId], now: float) -> None:
@@ -68,6 +79,8 @@
             if now - seen_at > SHARE_HOLD_S:
                 del self._seen_at[node]
         self._seen_at.update(dict.fromkeys(nodes, now))
+        if self._others_since is None and self._seen_at.keys() - {self._own}:
+            self._others_since = now
 
     def share(self, window_s: float, now: float) -> BudgetShare:
         """Return the part of this node.
@@ -81,4 +94,12 @@
         """
         is_new = now - self._started_at <= window_s
         fraction = START_FRACTION if is_new else 1.0
-        return BudgetShare(max(1, len(self._seen_at)), fraction, fraction)
+        fixed_fraction = fraction if self._are_known(now) else 0.0
+        return BudgetShare(max(1, len(self._seen_at)), fixed_fraction, fraction)
+
+    def _are_known(self, now: float) -> bool:
+        """Whether this process has had time to learn how many nodes there are."""
+        known_since = self._others_since
+        if known_since is None and not self._expects_others:
+            known_since = self._started_at
+        return known_since is not None and now - known_since >= KNOWN_AFTER_S
--- a/briarpond/gateway/_retry_records.py
+++ b/briarpond/gateway/_retry_records.py
@@ -107,4 +107,6 @@
 
 def _refusal_reason(share: BudgetShare) -> str:
     """Return why a budget without room has none: its whole part is used, or not all may be."""
+    if share.fraction == 0:
+        return "nodes_unknown"
     return "spent" if share.fraction == 1 else "new_process"
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -185,7 +185,7 @@
         self.plan: Plan | None = None
         self.planner: NodeId | None = None
         self.node_count = 1
-        self.budget_nodes = BudgetNodes(clock.now())
+        self.budget_nodes = BudgetNodes(settings.node, clock.now(), bool(settings.seed_hosts))
         self.list_known_until: Callable[[], float | None] = lambda: None
         self._plan_confirmed_at = float("-inf")
         self._plan_list_known_at = float("-inf")
--- a/tests/gateway/repeating_nodes.py
+++ b/tests/gateway/repeating_nodes.py
@@ -7,6 +7,7 @@
 import random
 from bisect import bisect_left, bisect_right
 
+from briarpond.dispatch import BudgetNodes
 from briarpond.net import HttpRequest, LossReason
 
 from .silent_servers import NOT_EXECUTED, begin_answer, encode_event
@@ -68,7 +69,8 @@
 
     def start(self, name):
         """Start the process of a node, which sees the others at once unless `views` says else."""
-        gateway = Gateway(self._folder, HEADS, self.clock)
+        gateway = Gateway(self._folder, HEADS, self.clock, is_new=True)
+        gateway.state.budget_nodes = BudgetNodes(name, self.clock.now(), expects_others=True)
         gateway.state.rng.seed(self._rng.random())
         gateway.client.start = lambda call: self._receive(name, gateway, call)
         gateway.ingress.start()
--- a/tests/gateway/test_repeats_of_all_nodes.py
+++ b/tests/gateway/test_repeats_of_all_nodes.py
@@ -73,3 +73,19 @@
     system.clock.advance(12.0)
     assert len(system.repeated_at) > 0.6 * system.limits.retry_slack
     assert system.excess() <= 0
+
+
+# Guards against a process that takes the whole fixed number, since it knows no other node yet.
+def test_nodes_that_know_no_other_yet_keep_the_rule(system):
+    fail(system, "full", 20.0)
+    system.clock.advance(5.0)
+    for name in NAMES:
+        system.kill(name)
+        system.views[name] = [name]
+    for name in NAMES:
+        system.start(name)
+    system.clock.advance(2.5)
+    system.views = {}
+    system.clock.advance(12.0)
+    assert len(system.repeated_at) > 0.6 * system.limits.retry_slack
+    assert system.excess() <= 0
--- a/tests/gateway/test_retry_records.py
+++ b/tests/gateway/test_retry_records.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from briarpond.dispatch import BudgetShare
+from briarpond.dispatch import KNOWN_AFTER_S, BudgetShare
 from briarpond.gateway import _retry_records
 from briarpond.net import LossReason
 
@@ -53,7 +53,6 @@
 
 def test_gauges_tell_what_is_used(tmp_path):
     gateway = Gateway(tmp_path)
-    gateway.clock.advance(2 * gateway.state.settings.bounds.retry_window_s)
     gateway.send_stream_request()
     gateway.client.sent[0].answer_head(503, NOT_EXECUTED)
     gateway.state.publish_retry_usage(gateway.clock.now())
@@ -126,3 +125,26 @@
     assert [name for name, _ in logged] == ["send_repeated"]
     usage = budget.usage(BudgetShare(1), gateway.clock.now())
     assert usage.retries == 1 and usage.unsent == 0
+
+
+# Guards against a record that doesn't tell a part that is used up from one that a node lacks.
+def test_refusals_name_why_the_part_is_small(tmp_path, logged):
+    gateway = Gateway(tmp_path, is_new=True)
+    window_s = gateway.state.settings.bounds.retry_window_s
+    refuse_repeat(gateway)
+    gateway.clock.advance(KNOWN_AFTER_S + 0.1)
+    refuse_repeat(gateway)
+    gateway.clock.advance(window_s)
+    refuse_repeat(gateway)
+    reasons = [fields["reason"] for _, fields in logged]
+    assert reasons == ["nodes_unknown", "new_process", "spent"]
+
+
+def refuse_repeat(gateway):
+    """Let the budget refuse a repeat, since grants that are not sent use it up."""
+    budget = gateway.state.retry_budget("pool")
+    now = gateway.clock.now()
+    while budget.try_acquire(gateway.state.retry_share(now), now):
+        pass
+    gateway.send_stream_request()
+    gateway.client.sent[-1].answer_head(503, NOT_EXECUTED)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from briarpond.directory import GroupTarget, Plan, RoutingTargets
+from briarpond.dispatch import BudgetNodes
 from briarpond.fleet import InstanceState
 from briarpond.gateway._ingress import Ingress
 from briarpond.gateway._state import NodeState
@@ -14,6 +15,8 @@
 
 from ..platform_samples import CONFIG, SETTINGS, config_bytes, server_bytes
 
+# Longer than the window of the retry budget.
+RUNS_FOR_S = 30.0
 STAMP_HEADER = ("x-briarpond-server-stamp", "s.1")
 
 
@@ -140,18 +143,31 @@
     return decode_instance(name, server_bytes()).ok
 
 
+def known_nodes(own, now):
+    """Return the nodes as one knows them that has run alone for longer than a window."""
+    started_at = now - RUNS_FOR_S
+    nodes = BudgetNodes(own, started_at, expects_others=False)
+    nodes.update([own], started_at)
+    return nodes
+
+
 class Gateway:
     """The ingress of a node with three plain servers and one group for each of `heads`.
 
-    All groups serve the model `big`; the plain servers belong to the service `desk`.
+    All groups serve the model `big`; the plain servers belong to the service `desk`. Its process
+    has run for `RUNS_FOR_S` seconds, unless it is new.
     """
 
-    def __init__(self, tmp_path: Path, heads=("h1", "h2", "h3"), clock=None) -> None:
+    def __init__(
+        self, tmp_path: Path, heads=("h1", "h2", "h3"), clock=None, is_new: bool = False
+    ) -> None:
         path = tmp_path / "node.yaml"
         path.write_text(SETTINGS)
         self.clock = VirtualClock() if clock is None else clock
         self.client = ScriptedClient(self.clock)
         self.state = NodeState(load_gateway_settings(path).ok, self.clock, self.client)
+        if not is_new:
+            self.state.budget_nodes = known_nodes(self.state.settings.node, self.clock.now())
         stream_route, *other_routes = CONFIG["routes"]
         routes = [{**stream_route, "split": [], "service": "pool"}, *other_routes]
         self.state.route_table = RouteTable(decode_configuration(config_bytes(routes=routes)).ok)
