--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -495,8 +495,7 @@
         state = self.state
         now = self._clock.now()
         members = self._peers.sync.members
-        live = {member.node for member in members.live(now)}
-        state.update_nodes(frozenset({self._settings.node, *live}), now)
+        state.update_nodes(members.recently_live(0.0, now), now)
         state.cold_link.update_nodes(members.recently_live(RECENT_NODES_S, now), now)
         state.cold_sends(now)
         state.publish_retry_usage(now)
--- a/tests/gateway/test_repeats_of_all_nodes.py
+++ b/tests/gateway/test_repeats_of_all_nodes.py
@@ -58,7 +58,7 @@
 # Guards against a part that is spent twice: by a process, and by the one that is started after it.
 @pytest.mark.parametrize(
     ("killed", "kind"),
-    itertools.product(("n1 n2 n3 n4", "n1,n2,n3,n4"), ("lost", "full")),
+    list(itertools.product(("n1 n2 n3 n4", "n1,n2,n3,n4"), ("lost", "full"))),
 )
 def test_nodes_that_are_killed_and_started_again_keep_the_rule(system, killed, kind):
     fail(system, kind, 20.0)
--- a/tests/gateway/test_retry_records.py
+++ b/tests/gateway/test_retry_records.py
@@ -1,10 +1,14 @@
 """Logs and metrics of the retry budget: what is granted, refused and sent."""
 
+from types import SimpleNamespace
+
 import pytest
 
+from briarpond.directory import Member, MemberTable
 from briarpond.dispatch import KNOWN_AFTER_S, BudgetShare
 from briarpond.gateway import _retry_records
-from briarpond.net import LossReason
+from briarpond.gateway._node import Node
+from briarpond.net import Address, BodyBudget, LossReason
 
 from .silent_servers import BEGUN_SILENCE_S, NOT_EXECUTED, begin_answer
 from .world import Gateway
@@ -127,6 +131,28 @@
     assert usage.retries == 1 and usage.unsent == 0
 
 
+# Guards against a part that is too large for good, since nobody tells the budget of the nodes.
+def test_node_tells_the_budget_of_the_nodes_that_it_knows(tmp_path):
+    gateway = Gateway(tmp_path, is_new=True)
+    own, others = gateway.state.settings.node, ("n2", "n3", "n4")
+    address = Address("10.1.0.40", 8227)
+    members = MemberTable(Member(own, 1, 1, address, "hobart-a", True, False))
+    for name in others:
+        member = Member(name, 1, 1, address, "hobart-a", True, False)
+        members.heard(member, gateway.clock.now())
+    peers = SimpleNamespace(sync=SimpleNamespace(members=members))
+    node = SimpleNamespace(
+        state=gateway.state, _clock=gateway.clock, _peers=peers, _body_budget=BodyBudget()
+    )
+    Node._run_housekeeping(node)
+    assert gateway.state.node_count == 4
+    gateway.clock.advance(20.0)
+    assert members.live(gateway.clock.now()) == []
+    Node._run_housekeeping(node)
+    assert gateway.state.node_count == 1
+    assert gateway.state.retry_share(gateway.clock.now()) == BudgetShare(4)
+
+
 # Guards against a record that doesn't tell a part that is used up from one that a node lacks.
 def test_refusals_name_why_the_part_is_small(tmp_path, logged):
     gateway = Gateway(tmp_path, is_new=True)
