Test: repeats of four nodes with random faults, in any window of the rule

Seeded: nodes killed, started and unseen, streams held, connections lost and requests turned away, in any order.

--- a/tests/gateway/test_repeats_of_all_nodes.py
+++ b/tests/gateway/test_repeats_of_all_nodes.py
@@ -1,6 +1,7 @@
 """Repeats of all nodes together stay within the rule, in any window, as nodes come and go."""
 
 import itertools
+import random
 
 import pytest
 
@@ -89,3 +90,35 @@
     system.clock.advance(12.0)
     assert len(system.repeated_at) > 0.6 * system.limits.retry_slack
     assert system.excess() <= 0
+
+
+# Guards against ways to spend a part twice that come from several of the above together.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_nodes_with_random_faults_keep_the_rule(tmp_path, seed):
+    system = RepeatingNodes(tmp_path, NAMES, seed)
+    rng = random.Random(seed)
+    for _ in range(12):
+        system.clock.advance(rng.uniform(0.5, 8.0))
+        fail(system, rng.choice(["lost", "full"]), rng.uniform(1.0, 8.0))
+        random_fault(system, rng)
+    system.clock.advance(12.0)
+    assert len(system.repeated_at) > system.limits.retry_slack
+    assert system.excess() <= 0
+
+
+def random_fault(system, rng):
+    """Lose all streams, kill and start some nodes, or let them see others or none."""
+    chosen = rng.sample(NAMES, rng.randint(1, len(NAMES)))
+    match rng.choice(["held", "restart", "cut", "whole"]):
+        case "held":
+            system.lose_streams(full_s=rng.uniform(0.5, 3.0))
+        case "restart":
+            for name in chosen:
+                system.kill(name)
+            system.clock.advance(rng.uniform(0.1, 2.0))
+            for name in chosen:
+                system.start(name)
+        case "cut":
+            system.views = {name: rng.sample(NAMES, rng.randint(0, 3)) for name in chosen}
+        case "whole":
+            system.views = {}
