--- a/briarpond/dispatch/__init__.py
+++ b/briarpond/dispatch/__init__.py
@@ -6,7 +6,14 @@
     AdmissionDecision,
     decide_admission,
 )
-from ._budget import SharedRetryBudget
+from ._budget import RetryUsage, SharedRetryBudget
+from ._budget_nodes import (
+    KNOWN_AFTER_S,
+    SHARE_HOLD_S,
+    START_FRACTION,
+    BudgetNodes,
+    BudgetShare,
+)
 from ._cold import ColdLimit, ColdSends
 from ._cost import AnswerLengths, LengthForecast
 from ._events import DamagedEventError, ResumableEventSplitter, count_events, has_fields
@@ -47,6 +54,7 @@
 
 __all__ = [
     "HOLD_GOAL_FRACTION",
+    "KNOWN_AFTER_S",
     "MAX_SENDS_OF_BEGUN_STREAM",
     "MIN_REMAINING_S",
     "PRESSURE_HOLD_FRACTION",
@@ -54,6 +62,8 @@
     "AdmissionDecision",
     "AdmittedShare",
     "AnswerLengths",
+    "BudgetNodes",
+    "BudgetShare",
     "ColdLimit",
     "ColdSends",
     "DamagedEventError",
@@ -72,6 +82,9 @@
     "ResumePause",
     "SendFailure",
     "SendProgress",
+    "RetryUsage",
+    "SHARE_HOLD_S",
+    "START_FRACTION",
     "SharedRetryBudget",
     "StepPaces",
     "count_events",
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -502,9 +502,10 @@
         state = self.state
         now = self._clock.now()
         members = self._peers.sync.members
-        state.node_count = members.count_nodes(now)
+        state.update_nodes(members.recently_live(0.0, now), now)
         state.cold_link.update_nodes(members.recently_live(RECENT_NODES_S, now), now)
         state.cold_sends(now)
+        state.publish_retry_usage(now)
         state.metrics.body_bytes.set({}, self._body_budget.used)
         listed = {listed_instance.id for listed_instance in state.fleet.all_instances()}
         state.load_tracker.prune(listed)
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -17,6 +17,18 @@
 from ._targets import ServerChoice, best_group, best_server
 
 
+class RetryGrant(msgspec.Struct):
+    """The send that the retry budget has granted to one request.
+
+    Attributes
+    ----------
+    unsent_since : float or None
+        Time of a grant whose send has not begun; None without one.
+    """
+
+    unsent_since: float | None = None
+
+
 class RequestContext(msgspec.Struct, frozen=True):
     """A request of a caller, and where it belongs.
 
@@ -34,6 +46,8 @@
         The request.
     cost : RequestCost
         Expected and seen length of the answer.
+    grant : RetryGrant
+        What the retry budget has granted.
     """
 
     state: NodeState
@@ -42,6 +56,7 @@
     tenant: Tenant | None
     caller: CallerRequest
     cost: RequestCost = msgspec.field(default_factory=RequestCost)
+    grant: RetryGrant = msgspec.field(default_factory=RetryGrant)
 
     @property
     def runs_in_group(self) -> bool:
@@ -135,9 +150,40 @@
         return self.state.quarantine.is_suspect(self.caller.prompt_parts, now)
 
     def take_retry_budget(self, now: float) -> bool:
-        """Whether the retry budget has room for another send; it is counted if so."""
-        budget = self.state.retry_budget(self.service)
-        return budget.try_acquire(self.state.node_count, now)
+        """Whether the retry budget has room for another send; it is counted if so.
+
+        A grant whose send did not begin is used again: no send is about to use it, since one
+        is asked for only when all sends under way have begun.
+        """
+        if self.grant.unsent_since is not None:
+            return True
+        state = self.state
+        budget = state.retry_budget(self.service)
+        share = state.retry_share(now)
+        if budget.try_acquire(share, now):
+            self.grant.unsent_since = now
+            state.retry_records.record_granted(self.service)
+            return True
+        usage = budget.usage(share, now)
+        state.retry_records.record_refused(self.service, usage, share, now)
+        return False
+
+    def record_repeat(self, server: InstanceId, now: float) -> None:
+        """Count and log a send beyond the first, whose first byte is about to leave."""
+        state = self.state
+        budget = state.retry_budget(self.service)
+        granted_at = self.grant.unsent_since
+        self.grant.unsent_since = None
+        budget.record_sent(now, granted_at is not None)
+        usage = budget.usage(state.retry_share(now), now)
+        held_s = None if granted_at is None else now - granted_at
+        state.retry_records.record_sent(self.service, self.caller.id, server, held_s, usage)
+
+    def release_retry_budget(self) -> None:
+        """Give back a grant whose send has not begun, since the request has ended."""
+        if self.grant.unsent_since is not None:
+            self.grant.unsent_since = None
+            self.state.retry_budget(self.service).release()
 
     def may_hedge(self, progress: SendProgress, now: float) -> bool:
         """Whether the route and the sends so far permit another send beside one under way."""
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -22,6 +22,8 @@
 from briarpond.dispatch import (
     AdmittedShare,
     AnswerLengths,
+    BudgetNodes,
+    BudgetShare,
     ColdSends,
     EventGapTracker,
     GroupPreferences,
@@ -44,6 +46,7 @@
 from ._kept_bytes import KeptBytes
 from ._metrics import GatewayMetrics
 from ._quarantine_link import QuarantineLink
+from ._retry_records import RetryRecords
 
 # What the planner tells of departed servers is relied on for the bound on requests to them,
 # less this time, in which a node can read the instance list itself.
@@ -131,6 +134,8 @@
         Memory that incomplete answers of servers take up.
     cold_link : ColdLink
         Pacing of requests to cold servers.
+    retry_records : RetryRecords
+        What the retry budgets grant and refuse.
     quarantine_link : QuarantineLink
         Prompt parts that end servers, and what is reported of them.
     evacuated : frozenset of DataCentre
@@ -147,6 +152,8 @@
         Version of the plan that the routing targets are from.
     node_count : int
         Number of nodes that are alive, this one included.
+    budget_nodes : BudgetNodes
+        Nodes that have a part of the retry budgets.
     list_known_until : callable
         Returns the time up to which this node has followed the instance list without a
         gap; None if it has not read the list.
@@ -169,6 +176,7 @@
         self.step_paces = StepPaces()
         self.admitted_shares: dict[HostedModel, AdmittedShare] = {}
         self.metrics = GatewayMetrics()
+        self.retry_records = RetryRecords(self.metrics)
         self.kept_bytes = KeptBytes()
         self.cold_link = ColdLink(settings.node, clock.now(), self._cold_until)
         self.quarantine_link = QuarantineLink(
@@ -180,6 +188,7 @@
         self.plan: Plan | None = None
         self.planner: NodeId | None = None
         self.node_count = 1
+        self.budget_nodes = BudgetNodes(settings.node, clock.now(), bool(settings.seed_hosts))
         self.list_known_until: Callable[[], float | None] = lambda: None
         self.config_origin: Callable[[], ConfigOrigin] = ConfigOrigin
         self._plan_confirmed_at = float("-inf")
@@ -225,6 +234,22 @@
         budget.configure(*limits)
         return budget
 
+    def update_nodes(self, nodes: frozenset[NodeId], now: float) -> None:
+        """Replace the nodes that count as alive, this one included."""
+        self.node_count = len(nodes)
+        self.budget_nodes.update(nodes, now)
+
+    def retry_share(self, now: float) -> BudgetShare:
+        """Return this node's part of the fixed number of repeats."""
+        return self.budget_nodes.share(self.settings.bounds.retry_window_s, now)
+
+    def publish_retry_usage(self, now: float) -> None:
+        """Set the metrics of the retry budgets."""
+        share = self.retry_share(now)
+        for service in self._retry_budgets:
+            usage = self.retry_budget(service).usage(share, now)
+            self.retry_records.update_gauges(service, usage, share)
+
     def accept_plan(
         self, plan: Plan, confirmed_at: float, list_known_at: float | None = None
     ) -> None:
