Nodes tell each other whether they reach backend servers

Interface for the two halves of the answer to a partition from all servers: `Member.cut_off` (field 12 of MemberRow, optional), `NodeState.reachability.is_cut_off(now)`, and an order of candidates for the planner's lease in which nodes that are cut off neither count nor apply while others reach servers. Nothing sets the flag yet.

--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -236,6 +236,7 @@
         member.candidate,
         member.gone,
         member.planning,
+        member.cut_off or None,
     )
 
 
@@ -251,6 +252,7 @@
         wire.candidate,
         wire.gone,
         bool(wire.planning),
+        bool(wire.cut_off),
     )
 
 
--- a/briarpond/directory/_members.py
+++ b/briarpond/directory/_members.py
@@ -286,13 +286,24 @@
         """Whether this node should become a candidate for the planner's lease.
 
         It should if the present candidates, and the nodes that come before this one by
-        name, are fewer than `max_candidates`.
+        name, are fewer than `max_candidates`. Nodes that are cut off from the backend servers
+        neither count nor apply, unless all are.
         """
-        staying = [member for member in self.live(now) if not member.leaving]
+        if self.own.cut_off and self.others_reach_servers(now):
+            return False
+        staying = [
+            member
+            for member in self.live(now)
+            if not member.leaving and (self.own.cut_off or not member.cut_off)
+        ]
         applying = sum(1 for member in staying if member.candidate)
         ahead = sum(1 for member in staying if not member.candidate and member.node < self.own.node)
         return applying + ahead < max_candidates
 
+    def others_reach_servers(self, now: float) -> bool:
+        """Whether another live node that stays is not cut off from the backend servers."""
+        return any(not each.leaving and not each.cut_off for each in self.live(now))
+
     def no_node_reaches_store(self, now: float) -> bool:
         """Whether no live node is a candidate, that is, reaches the store and applies.
 
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -288,6 +288,8 @@
         Whether a relay no longer hears the node. Only this field is set by other nodes.
     planning : bool
         Whether the node plans at present.
+    cut_off : bool
+        Whether the node reaches no backend servers at present, while others may reach them.
     """
 
     node: NodeId
@@ -300,6 +302,7 @@
     candidate: bool = False
     gone: bool = False
     planning: bool = False
+    cut_off: bool = False
 
 
 class Pull(msgspec.Struct, frozen=True):
--- a/briarpond/directory/exchange.thrift
+++ b/briarpond/directory/exchange.thrift
@@ -95,7 +95,8 @@
   8: required bool leaving,
   9: required bool candidate,
   10: required bool gone,
-  11: optional bool planning
+  11: optional bool planning,
+  12: optional bool cut_off
 }
 
 /** How long ago a relay of a data centre vouched for its nodes. */
--- a/briarpond/directory/gen/exchange/ttypes.py
+++ b/briarpond/directory/gen/exchange/ttypes.py
@@ -963,11 +963,12 @@
      - candidate
      - gone
      - planning
+     - cut_off
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, revision=None, host=None, port=None, data_centre=None, ready=None, leaving=None, candidate=None, gone=None, planning=None,):
+    def __init__(self, node=None, incarnation=None, revision=None, host=None, port=None, data_centre=None, ready=None, leaving=None, candidate=None, gone=None, planning=None, cut_off=None,):
         self.node = node
         self.incarnation = incarnation
         self.revision = revision
@@ -979,6 +980,7 @@
         self.candidate = candidate
         self.gone = gone
         self.planning = planning
+        self.cut_off = cut_off
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1044,6 +1046,11 @@
                     self.planning = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.cut_off = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1098,6 +1105,10 @@
             oprot.writeFieldBegin('planning', TType.BOOL, 11)
             oprot.writeBool(self.planning)
             oprot.writeFieldEnd()
+        if self.cut_off is not None:
+            oprot.writeFieldBegin('cut_off', TType.BOOL, 12)
+            oprot.writeBool(self.cut_off)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2416,6 +2427,7 @@
     (9, TType.BOOL, 'candidate', None, None, ),  # 9
     (10, TType.BOOL, 'gone', None, None, ),  # 10
     (11, TType.BOOL, 'planning', None, None, ),  # 11
+    (12, TType.BOOL, 'cut_off', None, None, ),  # 12
 )
 all_structs.append(DataCentreAge)
 DataCentreAge.thrift_spec = (
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -367,6 +367,7 @@
             "leaving": self.state.leaving,
             "candidate": self._lease.is_candidate(self._clock.now()),
             "planning": self._planner.planning,
+            "cut_off": self.state.reachability.is_cut_off(self._clock.now()),
         }
 
     def _callbacks(self) -> SyncCallbacks:
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -37,6 +37,7 @@
 from briarpond.net import Clock, HttpClient
 from briarpond.platform import GatewaySettings
 from briarpond.quarantine import Quarantine
+from briarpond.reachability import Reachability
 from briarpond.routes import EngineSpec, GatewayConfiguration, HostedModel, RouteTable
 
 from ._cold_link import ColdLink, cold_limit
@@ -134,6 +135,8 @@
         Prompt parts that end servers, and what is reported of them.
     evacuated : frozenset of DataCentre
         Data centres whose servers get no requests, by the operator's order.
+    reachability : Reachability
+        Whether this node reaches backend servers.
     leaving : bool
         Whether the node is about to stop.
     has_served : bool
@@ -172,6 +175,7 @@
             self.metrics, clock, lambda now: len(self.groups(now))
         )
         self.evacuated: frozenset[DataCentre] = frozenset()
+        self.reachability = Reachability()
         self.leaving = False
         self.has_served = False
         self.plan: Plan | None = None
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -48,6 +48,7 @@
 )
 MESSAGES = [
     Pull(member("1"), 123, 5, 9, PlanVersion(3, 8), 4, LOAD),
+    Pull(member("1", cut_off=True), 123, 5, 9, PlanVersion(3, 8), 4, LOAD),
     Answer(
         member("1"),
         123,
@@ -133,6 +134,19 @@
     assert table_with(member("4"), others[0], others[2]).should_apply(3, 10.1)
 
 
+# Guards against a planner that reaches no servers and declares all of them lost.
+def test_nodes_that_reach_servers_apply_instead_of_those_that_are_cut_off():
+    others = [member("1", candidate=True, cut_off=True), member("2", cut_off=True), member("5")]
+    assert table_with(member("4"), *others).should_apply(1, 10.1)
+    assert not table_with(member("0", cut_off=True), *others).should_apply(3, 10.1)
+
+
+def test_nodes_apply_as_usual_if_all_are_cut_off():
+    others = [member("1", cut_off=True), member("3", cut_off=True), member("5", leaving=True)]
+    assert table_with(member("2", cut_off=True), *others).should_apply(2, 10.1)
+    assert not table_with(member("4", cut_off=True), *others).should_apply(2, 10.1)
+
+
 def test_store_counts_as_unreachable_only_if_no_live_node_is_a_candidate():
     """Guards against two planners at a time.
 
