--- a/briarpond/gateway/_ingress.py
+++ b/briarpond/gateway/_ingress.py
@@ -11,6 +11,7 @@
 from briarpond.routes import choose_service
 
 from ._run import ForwardedRequest
+from ._send import Send
 from ._state import NodeState
 from ._stopping import Stop, can_finish
 
@@ -96,6 +97,10 @@
         """Number of requests without a final answer."""
         return len(self._requests)
 
+    def open_sends(self) -> list[Send]:
+        """Return the sends to servers that are under way."""
+        return [send for forwarded in self._requests for send in forwarded.open_sends]
+
     def start(self) -> None:
         """Start the periodic check for stalled streams."""
         self._state.clock.every(STALL_CHECK_INTERVAL_S, self._check_stalls)
--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -80,6 +80,7 @@
         self._renewed_at = float("-inf")
         self._holds = False
         self._stopped = False
+        self._withdrawn_at = float("-inf")
 
     def start(self) -> None:
         """Start to apply, after a delay in which this node learns of others."""
@@ -89,6 +90,20 @@
         """Leave the lease group, and with it give up the lease."""
         self._stopped = True
         self._holds = False
+        self._leave()
+
+    def withdraw(self) -> None:
+        """Leave the lease group for now; this node applies again when it should and is prepared."""
+        if not self._is_applying:
+            return
+        self._is_applying = False
+        self._has_expired = True
+        self._holds = False
+        self._withdrawn_at = self._clock.now()
+        log_event("lease_withdrawn", term=self.term)
+        self._leave()
+
+    def _leave(self) -> None:
         self._store.call(
             leave_lease_request(self._member), CALL_TIMEOUT_S, self._on_left, self._on_leave_failed
         )
@@ -155,6 +170,10 @@
             return
         if self._stopped:
             return
+        if requested_at <= self._withdrawn_at:
+            # The store may have handled this call after the one by which this node left.
+            self._leave()
+            return
         self._unanswered_calls = 0
         held_before = self.holds(self._clock.now())
         if answer.ok.term != self.term:
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -98,6 +98,16 @@
             "Data centres whose servers get no requests, by the operator's order.",
             registry=self.registry,
         )
+        self.cut_off = Gauge(
+            "briarpond_gateway_cut_off",
+            "1 while this node reaches no backend servers, 0 otherwise.",
+            registry=self.registry,
+        )
+        self.reach_checks = Counter(
+            "briarpond_gateway_reach_checks_total",
+            "New connections that only check whether servers are reached, by result.",
+            registry=self.registry,
+        )
         self.dropped_lines = Gauge(
             "briarpond_gateway_log_lines_dropped",
             "Log lines that the output did not take.",
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -35,6 +35,7 @@
     parse_address_query,
 )
 from briarpond.quarantine import trial_node
+from briarpond.reachability import LossKind
 from briarpond.routes import GatewayConfiguration
 
 from ._caller_bodies import body_budget_bytes, record_body_refusal
@@ -48,6 +49,7 @@
 from ._planner_link import PlannerRunner
 from ._pressure import measure_pressure
 from ._quarantine_api import QUARANTINE_PATH, answer_quarantine
+from ._reach_link import ReachLink
 from ._registry import NodeRegistry
 from ._shutdown import STOP_CHECK_INTERVAL_S, Shutdown
 from ._start_wait import start_wait_s
@@ -77,6 +79,11 @@
 # Share of `bounds.revoke_within_s` up to which the configuration may be old on a ready node. It is
 # less than KEYS_MAX_AGE_SHARE, so that callers are sent elsewhere before keys are refused.
 READY_MAX_AGE_SHARE = 0.6
+# A node that is cut off from the servers waits this long before it leaves the planning to others,
+# in seconds: it may learn meanwhile that they are cut off, too.
+YIELD_DELAY_S = 0.4
+# How often it looks for a node that reaches servers after that.
+YIELD_CHECK_INTERVAL_S = 0.1
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
 
@@ -175,6 +182,7 @@
             self.state, self._lease, self._peers, lambda: self._instances_feed.known_until
         )
         self.ingress = Ingress(self.state, self._config.age, self._on_stalled)
+        self._reach = ReachLink(self.state, self.ingress.open_sends, self._on_reach_changed)
         quarantine_link = self.state.quarantine_link
         quarantine_link.is_trial_node = self._is_trial_node
         quarantine_link.announce = lambda evidence: self._peers.announce(evidence=evidence)
@@ -222,6 +230,7 @@
         self._lease.start()
         self._planner.start()
         self.ingress.start()
+        self._reach.start()
         self._clock.every(MISSING_CHECK_INTERVAL_S, self._expire_missing_instances)
         self._clock.every(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)
 
@@ -449,7 +458,26 @@
         """Tell other nodes of a stalled server; on the planner, also probe its group."""
         if self._planner.planning:
             self._planner.probe_group_of(server)
-        self._peers.announce(stalled=(server,))
+        self.state.hold_loss(
+            server, LossKind.STALL, lambda: self._peers.announce(stalled=(server,))
+        )
+
+    def _on_reach_changed(self) -> None:
+        """Tell other nodes that this one is cut off from the backend servers, or is back."""
+        self._peers.announce()
+        self._clock.after(YIELD_DELAY_S, self._yield_lease)
+
+    def _yield_lease(self) -> None:
+        """Leave the planning to a node that reaches servers, as long as this one does not."""
+        now = self._clock.now()
+        if not self.state.reachability.is_cut_off(now):
+            return
+        self._clock.after(YIELD_CHECK_INTERVAL_S, self._yield_lease)
+        members = self._peers.sync.members
+        if self._lease.is_candidate(now) and members.others_reach_servers(now):
+            self._lease.withdraw()
+            self._planner.step()
+            self._peers.announce()
 
     def _on_stalled_elsewhere(self, servers: tuple[InstanceId, ...]) -> None:
         now = self._clock.now()
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -19,6 +19,7 @@
     encode_leave,
     encode_open,
 )
+from briarpond.reachability import LossKind
 from briarpond.routes import GatewayConfiguration, ModelName, ServiceSpec
 
 from ._evacuation import without_evacuated
@@ -39,6 +40,9 @@
 PROBE_TIMEOUT_S = 0.3
 # Consecutive probes without an answer after which an instance counts as lost.
 LOST_AFTER_PROBES = 2
+# A missed probe is believed if it takes no longer than this to learn that other servers are
+# reached, in seconds.
+MAX_VERDICT_WAIT_S = 0.1
 # Time between two probes of an instance that is lost or slow.
 PROBE_INTERVAL_S = 1.0
 JSON_HEADERS = (("Content-Type", "application/json"),)
@@ -125,11 +129,21 @@
             if self.taking_over:
                 self._publish_listed_groups(now)
             return
+        if state.reachability.is_cut_off(now):
+            self._publish_unchanged(now)
+            return
         demand = self._peers.sync.demand(now)
         for spec in self._services_to_plan(config):
             self._step_service(spec, demand, now)
         self._publish(now)
 
+    def _publish_unchanged(self, now: float) -> None:
+        """Confirm the present groups while this node can order nothing and knows of no losses."""
+        if self._planners:
+            self._publish(now)
+        else:
+            self._publish_listed_groups(now)
+
     def _services_to_plan(self, config: GatewayConfiguration) -> list[ServiceSpec]:
         """Return the services with models, and those without any whose groups are to be closed."""
         specs = {
@@ -442,15 +456,40 @@
             if missed + 1 < LOST_AFTER_PROBES:
                 self._probe(planner, instance, missed + 1)
                 return
-            if instance not in planner.lost:
-                log_warning("instance_lost", instance=instance, reason=reason.value)
-            planner.mark_lost(instance, self._state.clock.now())
-            self.step()
+            lost_at = self._state.clock.now()
+            self._state.hold_loss(
+                instance,
+                LossKind.INSTANCE,
+                lambda: self._declare_lost(planner, instance, missed, lost_at, reason),
+            )
 
         self._probes[instance] = self._state.client.fetch(
             listed_instance.address, "GET", REPORT_PATH, (), b"", PROBE_TIMEOUT_S, on_done, on_lost
         )
 
+    def _declare_lost(
+        self,
+        planner: Planner,
+        instance: InstanceId,
+        missed: int,
+        lost_at: float,
+        reason: LossReason,
+    ) -> None:
+        """Mark an instance lost, since this node reaches others; probe it again after a long wait.
+
+        This node may have been cut off for a moment, and the probes may have been lost by that.
+        """
+        if planner not in self._planners.values():
+            return
+        now = self._state.clock.now()
+        if missed < LOST_AFTER_PROBES and now - lost_at > MAX_VERDICT_WAIT_S:
+            self._probe(planner, instance, LOST_AFTER_PROBES)
+            return
+        if instance not in planner.lost:
+            log_warning("instance_lost", instance=instance, reason=reason.value)
+        planner.mark_lost(instance, now)
+        self.step()
+
     def _record_pace(self, planner: Planner, instance: InstanceId, pace: float) -> None:
         slow = pace > SLOW_PACE_FACTOR
         if slow != (instance in planner.slow):
--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -11,6 +11,7 @@
 from briarpond.net import Exchange, Headers, HttpCall, LossReason
 from briarpond.platform import PlatformHeader, parse_server_load
 from briarpond.quarantine import CrashKey
+from briarpond.reachability import LossKind
 from briarpond.routes import RouteKind
 
 from ._answer_buffer import AnswerBuffer
@@ -211,7 +212,10 @@
         may_be_why = self.progress.may_have_ended_server(now)
         requests = (self._caller.prompt_parts,) if may_be_why else ()
         key = CrashKey(self.server, self.progress.epoch)
-        self._state.quarantine.record_crash(key, requests, now)
+        quarantine = self._state.quarantine
+        self._state.hold_loss(
+            self.server, LossKind.CRASH, lambda: quarantine.record_crash(key, requests, now)
+        )
 
     def record_survival(self, now: float) -> None:
         """Record that the server has written a whole answer to this request and goes on.
@@ -233,6 +237,9 @@
         if self._is_reserved:
             self._is_reserved = False
             self._state.cold_link.sends.record_sent(self.server, self._state.clock.now())
+        if self._exchange is not None and self._exchange.fresh:
+            now = self._state.clock.now()
+            self._state.reachability.note_connected(self.progress.began_at, now)
         self._callbacks.on_sent(self)
 
     def _on_head(self, status: int, headers: Headers) -> None:
@@ -303,6 +310,8 @@
             return
         now = self._state.clock.now()
         self.log_lost(reason.value, now)
+        if reason not in (LossReason.MALFORMED, LossReason.INVALID_REQUEST):
+            self._state.reachability.note_failure(self.server, now)
         if reason is LossReason.CONNECT_FAILED:
             self._callbacks.on_unusable(self.server)
         if reason.not_sent:
@@ -320,7 +329,8 @@
 
     def _record_progress(self, event_count: int, now: float) -> None:
         """Note that events have arrived; bytes that complete none are no progress."""
-        if self.first_event_seen:
+        was_cut_off = self._state.reachability.was_cut_off_since(self.last_progress)
+        if self.first_event_seen and not was_cut_off:
             gap_s = now - self.last_progress
             hosted = self._context.hosted_model
             self._state.event_gap_tracker.record_gap(self.server, hosted, gap_s, now)
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -37,7 +37,7 @@
 from briarpond.net import Clock, HttpClient
 from briarpond.platform import GatewaySettings
 from briarpond.quarantine import Quarantine
-from briarpond.reachability import Reachability
+from briarpond.reachability import LossKind, Reachability
 from briarpond.routes import EngineSpec, GatewayConfiguration, HostedModel, RouteTable
 
 from ._cold_link import ColdLink, cold_limit
@@ -95,6 +95,11 @@
     return msgspec.structs.replace(target, service=group.service, size=group.size)
 
 
+def _act_at_once(_server: InstanceId, _kind: LossKind, act: Callable[[], None]) -> None:
+    """Act on a loss on a node that makes no checks."""
+    act()
+
+
 class NodeState:
     """Configuration in force, fleet view, loads and plan of one node.
 
@@ -137,6 +142,10 @@
         Data centres whose servers get no requests, by the operator's order.
     reachability : Reachability
         Whether this node reaches backend servers.
+    hold_loss : callable
+        Takes a server that this node takes for lost, the kind of what is to be done about it, and
+        a function that does it. The function is called once it is clear that the server has
+        failed and not this node's links, and else never.
     leaving : bool
         Whether the node is about to stop.
     has_served : bool
@@ -176,6 +185,7 @@
         )
         self.evacuated: frozenset[DataCentre] = frozenset()
         self.reachability = Reachability()
+        self.hold_loss: Callable[[InstanceId, LossKind, Callable[[], None]], None] = _act_at_once
         self.leaving = False
         self.has_served = False
         self.plan: Plan | None = None
@@ -412,6 +422,10 @@
         """Send nothing to a server for the next `AVOID_DURATION_S` seconds."""
         self._avoided_until[server] = now + AVOID_DURATION_S
 
+    def forget_avoided(self) -> None:
+        """Use all servers again, because not they but this node's links had failed."""
+        self._avoided_until.clear()
+
     def is_avoided(self, server: InstanceId, now: float) -> bool:
         """Whether nothing is to be sent to a server at present."""
         return now < self._avoided_until.get(server, 0.0)
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -322,6 +322,29 @@
         self._client.remove_idle(self._conn)
 
 
+class _ConnectCallbacks:
+    """Keeps a connection that was opened without a call, and tells whether it was established."""
+
+    def __init__(
+        self, client: "HttpClient", idle_timeout_s: float, on_done: Callable[[bool], None]
+    ) -> None:
+        self.conn: Connection | None = None
+        self._client = client
+        self._idle_timeout_s = idle_timeout_s
+        self._on_done = on_done
+
+    def on_open(self) -> None:
+        if self.conn is not None:
+            self._client.keep_idle(self.conn, self._idle_timeout_s)
+        self._on_done(True)
+
+    def on_data(self, data: bytes) -> None:
+        """Do nothing: the connection has other callbacks once it is established."""
+
+    def on_closed(self, established: bool) -> None:
+        self._on_done(False)
+
+
 class HttpClient:
     """Starts HTTP calls and keeps idle connections for later calls.
 
@@ -435,6 +458,29 @@
         exchange = self.start(call)
         return exchange
 
+    def connect(
+        self,
+        address: Address,
+        timeout_s: float,
+        idle_timeout_s: float,
+        on_done: Callable[[bool], None],
+    ) -> None:
+        """Open a new connection without a call, and keep it for later calls.
+
+        Parameters
+        ----------
+        address : Address
+            Server to connect to.
+        timeout_s : float
+            Longest duration of the connect, in seconds.
+        idle_timeout_s : float
+            Seconds for which the connection may be used.
+        on_done : callable
+            Called from the loop with whether the connection was established.
+        """
+        callbacks = _ConnectCallbacks(self, idle_timeout_s, on_done)
+        callbacks.conn = self._connector.open(address, callbacks, timeout_s)
+
     def has_idle(self, address: Address) -> bool:
         """Whether a connection to an address is kept that a call can use again."""
         now = self._clock.now()
