--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -42,6 +42,7 @@
 from ._cold_link import RECENT_NODES_S
 from ._config_keeper import ConfigKeeper
 from ._connection_log import record_connection_end
+from ._handover import PlanningHandover
 from ._ingress import Ingress
 from ._instance_list import InstanceList
 from ._lease import MAX_CANDIDATES, PlannerLease
@@ -79,11 +80,6 @@
 # Share of `bounds.revoke_within_s` up to which the configuration may be old on a ready node. It is
 # less than KEYS_MAX_AGE_SHARE, so that callers are sent elsewhere before keys are refused.
 READY_MAX_AGE_SHARE = 0.6
-# A node that is cut off from the servers waits this long before it leaves the planning to others,
-# in seconds: it may learn meanwhile that they are cut off, too.
-YIELD_DELAY_S = 0.4
-# How often it looks for a node that reaches servers after that.
-YIELD_CHECK_INTERVAL_S = 0.1
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
 
@@ -182,7 +178,10 @@
             self.state, self._lease, self._peers, lambda: self._instances_feed.known_until
         )
         self.ingress = Ingress(self.state, self._config.age, self._on_stalled)
-        self._reach = ReachLink(self.state, self.ingress.open_sends, self._on_reach_changed)
+        handover = PlanningHandover(
+            clock, self.state.reachability, self._lease, self._planner, self._peers
+        )
+        self._reach = ReachLink(self.state, self.ingress.open_sends, handover.on_reach_changed)
         quarantine_link = self.state.quarantine_link
         quarantine_link.is_trial_node = self._is_trial_node
         quarantine_link.announce = lambda evidence: self._peers.announce(evidence=evidence)
@@ -462,23 +461,6 @@
             server, LossKind.STALL, lambda: self._peers.announce(stalled=(server,))
         )
 
-    def _on_reach_changed(self) -> None:
-        """Tell other nodes that this one is cut off from the backend servers, or is back."""
-        self._peers.announce()
-        self._clock.after(YIELD_DELAY_S, self._yield_lease)
-
-    def _yield_lease(self) -> None:
-        """Leave the planning to a node that reaches servers, as long as this one does not."""
-        now = self._clock.now()
-        if not self.state.reachability.is_cut_off(now):
-            return
-        self._clock.after(YIELD_CHECK_INTERVAL_S, self._yield_lease)
-        members = self._peers.sync.members
-        if self._lease.is_candidate(now) and members.others_reach_servers(now):
-            self._lease.withdraw()
-            self._planner.step()
-            self._peers.announce()
-
     def _on_stalled_elsewhere(self, servers: tuple[InstanceId, ...]) -> None:
         now = self._clock.now()
         for server in servers:
