Planner that reaches no servers declares nothing lost and leaves the lease

Cause: the planner was among the partitioned nodes; two missed probes each were enough to declare 49 servers lost within milliseconds, which closed their groups for all nodes, and it kept the lease since the store still reached it.

Change: a loss that the planner sees is held until a new connection to another server has shown that the planner's own links are sound, and dropped if they are not; where that took long, the probe is repeated instead. While a node is cut off it orders nothing and confirms the plan as it stands. If another node reaches servers it leaves the lease group 0.4 s after it was found cut off, and applies again only when prepared; a call to join that was under way is followed by another one to leave. If all are cut off it keeps the lease.

--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -9,9 +9,12 @@
 import pytest
 
 from briarpond.gateway._lease import RENEW_INTERVAL_S, PlannerLease
+from briarpond.platform import leave_lease_request
 
 from .world import VirtualClock
 
+LEAVE_TARGET = leave_lease_request("n1").target
+
 
 class LeaseStore:
     """Answers calls to join at once, or not at all while it is down."""
@@ -21,11 +24,28 @@
         self.term = 1
         self.holds = True
         self.joins = 0
+        self.left = 0
+        self.is_slow = False
+        self._unanswered = []
 
     def call(self, request, timeout_s, on_answer, on_lost):
         if self.is_down:
             return
+        if request.target == LEAVE_TARGET:
+            self.left += 1
+            return
         self.joins += 1
+        if self.is_slow:
+            self._unanswered.append(on_answer)
+        else:
+            self._answer(on_answer)
+
+    def answer_slow(self):
+        """Answer the calls to join that came while the store was slow."""
+        for on_answer in self._unanswered:
+            self._answer(on_answer)
+
+    def _answer(self, on_answer):
         parts = [("planner", 0, 0)] if self.holds else []
         on_answer(200, msgspec.json.encode({"generation": self.term, "parts": parts}))
 
@@ -97,3 +117,40 @@
     joins = candidate.store.joins
     candidate.clock.advance(3.0)
     assert candidate.store.joins == joins and not candidate.is_preparing
+
+
+def test_holder_that_withdraws_gives_up_the_lease_and_comes_back_only_when_prepared(candidate):
+    """A node that is cut off from the servers leaves the planning to others at once."""
+    candidate.flags["should_apply"] = False
+    candidate.withdraw()
+    now = candidate.clock.now()
+    assert not candidate.holds(now) and not candidate.is_candidate(now)
+    assert not candidate.expired_while_held(now)
+    assert candidate.store.left == 1
+    joins = candidate.store.joins
+    candidate.clock.advance(3.0)
+    assert candidate.store.joins == joins
+    candidate.flags["should_apply"] = True
+    candidate.clock.advance(1.0)
+    assert candidate.is_preparing and candidate.store.joins == joins
+    candidate.flags["prepared"] = True
+    candidate.clock.advance(1.0)
+    assert candidate.holds(candidate.clock.now())
+
+
+def test_join_that_was_under_way_at_the_withdrawal_does_not_bring_the_lease_back(candidate):
+    """Guards against a member of the lease group that the store keeps and that does not plan."""
+    candidate.store.is_slow = True
+    candidate.clock.advance(RENEW_INTERVAL_S)
+    candidate.flags["should_apply"] = False
+    candidate.withdraw()
+    candidate.store.answer_slow()
+    assert not candidate.holds(candidate.clock.now())
+    assert candidate.store.left == 2
+
+
+def test_withdrawal_of_a_node_that_does_not_apply_tells_the_store_nothing(candidate):
+    candidate.flags["should_apply"] = False
+    candidate.withdraw()
+    candidate.withdraw()
+    assert candidate.store.left == 1
--- a/tests/gateway/test_planner_cut_off.py
+++ b/tests/gateway/test_planner_cut_off.py
@@ -57,7 +57,7 @@
 
 
 class PlanningNode(CuttableGateway):
-    """A node that plans `GROUPS` open groups, with servers that report these memberships."""
+    """A node that plans `GROUPS` open groups of one model and one of another."""
 
     def __init__(self, tmp_path):
         super().__init__(tmp_path, heads=())
@@ -69,25 +69,30 @@
         peers = SimpleNamespace(sync=sync, announce=lambda delta=None: self.announced.append(delta))
         self.size = state.engine("pool").model("big").group_size
         for number in range(GROUPS):
-            for rank in range(self.size):
-                self._list(number, rank)
+            self._list_group(number, "big", self.size)
+        self._list_group(GROUPS, "small", 2)
         self.lease = Lease(clock.now())
         self.planner = PlannerRunner(state, self.lease, peers, clock.now)
         self.handover = PlanningHandover(clock, state.reachability, self.lease, self.planner, peers)
         self.planner.start()
         clock.advance(1.0)
-        assert len(self.published) == GROUPS
+        assert len(self.published) == GROUPS + 1
 
     def _on_change(self):
         super()._on_change()
         self.handover.on_reach_changed()
 
-    def _list(self, number, rank):
-        group = {"name": f"g{number}", "epoch": 1000001 + number, "rank": rank}
-        group["state"] = "ready" if rank else "open"
-        address = f"10.1.{number}.{rank + 1}:8080"
-        entry = server_bytes(group=group, addr=address, domain=f"d{number}")
-        self.state.fleet.put(decode_instance(f"m{number}-{rank}", entry).ok, self.clock.now())
+    def _list_group(self, number, model, size):
+        for rank in range(size):
+            group = {"name": f"g{number}", "epoch": 1000001 + number, "rank": rank}
+            entry = server_bytes(
+                group={**group, "state": "ready" if rank else "open"},
+                addr=f"10.1.{number}.{rank + 1}:8080",
+                domain=f"d{number}",
+                models=[{"name": model, "version": 1, "adapters": []}],
+                staged=[model],
+            )
+            self.state.fleet.put(decode_instance(f"m{number}-{rank}", entry).ok, self.clock.now())
 
     @property
     def published(self):
@@ -122,7 +127,7 @@
         node.clock.advance(0.05)
         assert node.lost == []
     assert node.is_cut_off
-    assert len(node.published) == GROUPS
+    assert len(node.published) == GROUPS + 1
     assert node.orders() == []
 
 
@@ -146,7 +151,7 @@
     node.report_all_stalled()
     node.clock.advance(1.0 + HANDOVER_DELAY_S)
     assert node.lease.is_withdrawn and not node.planner.planning
-    assert len(node.published) == GROUPS
+    assert len(node.published) == GROUPS + 1
 
 
 def test_planner_leaves_the_lease_once_it_learns_of_a_node_that_reaches_servers(node):
