--- a/briarpond/gateway/_pressure.py
+++ b/briarpond/gateway/_pressure.py
@@ -37,7 +37,8 @@
 def measure_pressure(state: NodeState, now: float) -> None:
     """Adapt the admitted share of each model; called when loads of other nodes have arrived."""
     table = state.route_table
-    if table is None or not state.settings.sheds_load:
+    if table is None or not state.settings.sheds_load or state.reachability.is_cut_off(now):
+        # A node that is cut off avoids all groups, which says nothing of their load.
         return
     for service, spec in table.config.services.items():
         if spec.engine is None or len(table.priorities.get(service, ())) < 2:
@@ -110,7 +111,8 @@
             return Pressure()
         load = load_of_model(state, context.hosted_model, engine, spec, now)
         admitted = _admitted(state, context.hosted_model)
-        admitted.measure(load, now, UNHEARD_S)
+        if not state.reachability.is_cut_off(now):
+            admitted.measure(load, now, UNHEARD_S)
         key = self._record(admitted)
         position = admitted.position(key, context.priority, priorities, state.time_of_day())
         if admitted.came_back_early(key, now):
--- a/briarpond/gateway/_reach_link.py
+++ b/briarpond/gateway/_reach_link.py
@@ -177,6 +177,7 @@
             state="cut_off" if is_cut_off else "back",
             checked=self._reachability.checked,
             failed=self._reachability.failures,
+            ms=int(self._reachability.elapsed_s * 1000),
         )
         self._state.metrics.cut_off.set({}, int(is_cut_off))
         if not is_cut_off:
@@ -199,7 +200,7 @@
         if dropped:
             counts = Counter(dropped)
             kinds = "+".join(f"{kind}:{count}" for kind, count in sorted(counts.items()))
-            log_event("losses_dropped", count=len(dropped), kinds=kinds)
+            log_event("losses_held", outcome="dropped", count=len(dropped), kinds=kinds)
 
 
 def _progress_of(send: Send) -> SendProgress:
--- a/briarpond/reachability/_reachability.py
+++ b/briarpond/reachability/_reachability.py
@@ -36,7 +36,9 @@
     on_doubt : callable
         Called when a failure raises a doubt.
     checked, failures : int
-        Checks of the last round, and those of them that failed.
+        Checks that have led to the last change of `is_cut_off`, and those of them that failed.
+    elapsed_s : float
+        Seconds from the first of these checks to a cut, or from a cut to its end.
     """
 
     def __init__(self, rng: random.Random | None = None) -> None:
@@ -44,6 +46,7 @@
         self.on_doubt: Callable[[], None] = lambda: None
         self.checked = 0
         self.failures = 0
+        self.elapsed_s = 0.0
         self._rng = random.Random() if rng is None else rng
         self._round: CheckRound | None = None
         self._return: ReturnWatch | None = None
@@ -172,6 +175,7 @@
 
     def _begin_cut(self, checks: CheckRound, now: float) -> None:
         self.checked, self.failures = checks.checked, checks.failures
+        self.elapsed_s = now - checks.began_at
         self._round = None
         self._return = ReturnWatch(now)
 
@@ -180,6 +184,7 @@
         if watch is None or not watch.is_back(now):
             return
         self.checked, self.failures = watch.answers + watch.failures, watch.failures
+        self.elapsed_s = now - watch.began_at
         self._return = None
         self._cut_ended_at = now
         self._reached_from = now
--- a/briarpond/reachability/_return.py
+++ b/briarpond/reachability/_return.py
@@ -26,11 +26,14 @@
 
     Attributes
     ----------
+    began_at : float
+        Time at which the node was found cut off.
     answers, failures : int
         Checks since the first answer that were answered, and those that failed.
     """
 
     def __init__(self, now: float) -> None:
+        self.began_at = now
         self.answers = 0
         self.failures = 0
         self._answering_since: float | None = None
--- a/tests/gateway/test_pressure.py
+++ b/tests/gateway/test_pressure.py
@@ -136,3 +136,16 @@
     full.state.admitted_shares[HostedModel("pool", "big")].share = 0.02
     full.client.sent[-1].answer_whole(503, b"", STAMP_HEADER, ("x-briarpond-not-executed", "1"))
     assert reply.status is None and len(full.client.sent) == 2
+
+
+# Guards against a node that forgets the overload because it avoids all servers while it is cut off.
+def test_admitted_share_is_not_learned_while_the_node_is_cut_off(full):
+    admitted = full.state.admitted_shares[HostedModel("pool", "big")]
+    share = admitted.share
+    full.state.reachability.is_cut_off = lambda now: True
+    for head in HEADS:
+        full.state.avoid(head, full.clock.now() + 10.0)
+    full.clock.advance(2.0)
+    measure_pressure(full.state, full.clock.now())
+    full.send_request("/plan/1", **MODEL)
+    assert admitted.share == share
--- a/tests/gateway/test_reach_link.py
+++ b/tests/gateway/test_reach_link.py
@@ -101,7 +101,7 @@
     gateway.client.begin(Cut.NONE)
     gateway.clock.advance(2.0)
     assert acted == []
-    assert {"count": 3, "kinds": "crash:1+stall:2"} in events
+    assert {"outcome": "dropped", "count": 3, "kinds": "crash:1+stall:2"} in events
     states = [line["state"] for line in events if "state" in line]
     assert states == ["cut_off", "back"]
     assert all(line["checked"] for line in events if "state" in line)
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -574,3 +574,15 @@
     assert closed == sorted(closed) and 4 <= sum(closed) <= 6
     left = sum(len(connection.send_buffer) for connection in connections)
     assert left <= MAX_UNREAD_IN_ALL_BYTES
+
+
+@pytest.mark.parametrize("is_served", [True, False])
+def test_connection_without_a_call_tells_whether_the_server_is_reached(loop, is_served):
+    results = []
+    client = HttpClient(loop.connector, loop.clock)
+    port = serve(loop, echo([]))[1] if is_served else free_port()
+    address = Address("127.0.0.1", port)
+    loop.clock.after(0.0, lambda: client.connect(address, 0.5, 2.0, results.append))
+    loop.wait_until(lambda: results)
+    assert results == [is_served]
+    assert client.has_idle(address) is is_served
