Lone crashes are evidence at once; servers that stay lost are not checked again

A crash that waits for the verdict came too late for the decision whether its request is repeated, so that a prompt that ends servers could have ended one more. Only crashes that come within 0.15 s of another server's failure wait now; the quarantine counts such crashes as one anyway. The planner asks lost servers each second as long as they are listed; each of these misses would have begun a round of checks.

--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -457,6 +457,10 @@
                 self._probe(planner, instance, missed + 1)
                 return
             lost_at = self._state.clock.now()
+            if instance in planner.lost:
+                planner.mark_lost(instance, lost_at)
+                self.step()
+                return
             self._state.hold_loss(
                 instance,
                 LossKind.INSTANCE,
--- a/briarpond/gateway/_reach_link.py
+++ b/briarpond/gateway/_reach_link.py
@@ -32,6 +32,10 @@
 CUT_OFF_STEP_INTERVAL_S = 0.1
 # How often the requests in flight are looked at for silence.
 SILENCE_CHECK_INTERVAL_S = 0.05
+# A crash is held if another server failed this shortly before, in seconds. A lone one is evidence
+# at once: whether its request is repeated depends on it, and the quarantine counts crashes that
+# come together as one.
+TOGETHER_S = 0.15
 # A connection that was opened for a check is used by requests within this time, in seconds.
 CHECKED_IDLE_TIMEOUT_S = 2.0
 
@@ -104,9 +108,18 @@
         """
         now = self._state.clock.now()
         self._reachability.note_failure(server, now, is_urgent=kind is LossKind.INSTANCE)
+        if kind is LossKind.CRASH and self._is_lone(server, now):
+            act()
+            return
         self._held.append(_HeldLoss(kind, now, act))
         self._step_after(0.0)
 
+    def _is_lone(self, server: InstanceId, now: float) -> bool:
+        """Whether only this server has failed lately, so that the links are probably sound."""
+        if self._reachability.is_cut_off(now):
+            return False
+        return not self._reachability.has_other_failure(server, now - TOGETHER_S)
+
     def _check_silence(self) -> None:
         now = self._state.clock.now()
         silence = find_silence((_progress_of(send) for send in self._open_sends()), now)
--- a/briarpond/reachability/_reachability.py
+++ b/briarpond/reachability/_reachability.py
@@ -74,6 +74,10 @@
         """Whether this node is cut off, or was at some moment since a time."""
         return self._return is not None or self._cut_ended_at >= at
 
+    def has_other_failure(self, server: InstanceId, since: float) -> bool:
+        """Whether another server failed after a time, and no connection has succeeded since."""
+        return any(at >= since for name, at in self._failed.items() if name != server)
+
     def verdict(self, lost_at: float) -> Verdict:
         """Return what is to become of the report of a loss.
 
--- a/tests/gateway/test_planner_cut_off.py
+++ b/tests/gateway/test_planner_cut_off.py
@@ -207,3 +207,14 @@
         node.clock.advance(0.05)
         assert node.lost == []
     assert not node.is_cut_off
+
+
+# Guards against checks of the planner's links each second for as long as a lost server is listed.
+def test_server_that_stays_lost_costs_no_more_checks(node):
+    node.client.dead.add(node.state.fleet.get("m0-1").address)
+    node.planner.probe_group_of("m0-0")
+    node.clock.advance(1.0)
+    connects = node.client.connects
+    node.clock.advance(10.0)
+    assert node.lost == ["m0-1"]
+    assert node.client.connects == connects
