--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -237,7 +237,8 @@
         if self._is_reserved:
             self._is_reserved = False
             self._state.cold_link.sends.record_sent(self.server, self._state.clock.now())
-        if self._exchange is not None and self._exchange.fresh:
+        if self._exchange is not None:
+            # Not called within `start`, as with a connection that was kept: this one is new.
             now = self._state.clock.now()
             self._state.reachability.note_connected(self.progress.began_at, now)
         self._callbacks.on_sent(self)
--- a/tests/gateway/test_reach_link.py
+++ b/tests/gateway/test_reach_link.py
@@ -9,9 +9,10 @@
 import pytest
 
 from briarpond.net import LossReason
-from briarpond.reachability import LossKind
+from briarpond.reachability import LinkState, LossKind
 
 from .cut_links import Cut, CuttableGateway
+from .world import NullExchange
 
 ALL_CUTS = [Cut.HANG, Cut.RESET, Cut.REFUSE]
 
@@ -176,3 +177,16 @@
     gateway.client.begin(Cut.NONE)
     gateway.clock.advance(1.0)
     assert gateway.state.metrics.cut_off.get({}) == 0
+
+
+def test_new_connection_of_a_request_ends_a_doubt_and_a_kept_one_does_not(gateway):
+    """Kept connections may live on while new ones are refused."""
+    state = gateway.state
+    state.reachability.note_failure("h1", gateway.clock.now())
+    gateway.send_stream_request()
+    assert state.reachability.state() is LinkState.IN_DOUBT
+    connecting = []
+    gateway.client.start = lambda call: connecting.append(call) or NullExchange()
+    gateway.send_stream_request()
+    connecting[0].on_sent()
+    assert state.reachability.state() is LinkState.REACHING
