--- a/briarpond/reachability/_reachability.py
+++ b/briarpond/reachability/_reachability.py
@@ -108,6 +108,8 @@
         """
         if not self.is_wired or self._return is not None:
             return
+        if self.state() is LinkState.REACHING:
+            self._failed.clear()
         if is_urgent:
             self._next_round_at = min(self._next_round_at, now)
         self._failed[server] = now
--- a/briarpond/reachability/_silence.py
+++ b/briarpond/reachability/_silence.py
@@ -9,7 +9,7 @@
 # A connect that takes this long raises a doubt, in seconds.
 SLOW_CONNECT_S = 0.12
 # Streams of several servers that are all silent for this long raise one, in seconds.
-SILENCE_S = 0.25
+SILENCE_S = 0.3
 MIN_SILENT_SERVERS = 2
 
 
--- a/tests/reachability/test_reachability.py
+++ b/tests/reachability/test_reachability.py
@@ -257,3 +257,17 @@
         chosen = choose_targets(pool, 3, {"s1"}, random.Random(seed))
         assert {target.data_centre for target in chosen} == {"a", "b", "c"}
         assert "s1" not in {target.server for target in chosen}
+
+
+# Guards against memory for each server that has ever failed, and against too few to check.
+def test_servers_that_failed_before_the_last_answer_are_forgotten():
+    links = Links(servers(9))
+    for n in range(9):
+        links.fail(f"s{n}")
+        links.reachability.note_connected(links.now + 0.001, links.now + 0.01)
+        links.run(1.0)
+    links.fail("s0")
+    assert not links.reachability.has_other_failure("s0", 0.0)
+    links.cut(0.0)
+    links.run(0.2)
+    assert links.is_cut_off and links.reachability.checked == 5
