--- a/tests/directory/test_convergence.py
+++ b/tests/directory/test_convergence.py
@@ -13,6 +13,8 @@
 SIZES = [9, 89, 195]
 # A dead node must be out of the addresses given to callers after this time.
 DEAD_NODE_LIMIT_S = 2.0
+# A node that is cut off from the servers must be known as such everywhere after this time.
+KNOWN_CUT_OFF_LIMIT_S = 1.0
 # A plan must have reached every reachable node after this time.
 PLAN_LIMIT_S = 0.5
 # A plan whose confirmation is older than this makes nodes read the instance list themselves:
@@ -182,3 +184,33 @@
     world.run(5.0)
     senders = [node for node in world.nodes if node.sent_far_bytes]
     assert len(senders) <= 5 * 2 + 3
+
+
+# Guards against nodes that pass requests, or leave the planning, to nodes that are cut off, too.
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("whole_zone", [False, True])
+def test_nodes_that_are_cut_off_from_servers_are_known_everywhere(size, whole_zone):
+    world = settled_world(size)
+    first_by_name = sorted(world.nodes, key=lambda node: node.name)[:3]
+    zone = first_by_name[0].data_centre
+    cut = [
+        node
+        for node in world.nodes
+        if node in first_by_name or (whole_zone and node.data_centre == zone)
+    ]
+    for node in cut:
+        node.sync.members.update_own(cut_off=True)
+        node.send(node.sync.announce(world.now))
+    names = {node.name for node in cut}
+
+    def is_known():
+        return all(
+            {each.node for each in node.sync.members.live(world.now) if each.cut_off}
+            == names - {node.name}
+            for node in world.running()
+        )
+
+    took = world.run_until(is_known, 3.0)
+    assert took is not None and took <= KNOWN_CUT_OFF_LIMIT_S
+    applying = [node.name for node in world.nodes if node.sync.members.should_apply(3, world.now)]
+    assert len(applying) == 3 and names.isdisjoint(applying)
