A round of checks ends with its doubt

A request's connection that began between the failure and the round ended the doubt but not the round, so that a later doubt went on with its failures. Test: test_round_ends_with_its_doubt (failed before).

--- a/briarpond/reachability/_reachability.py
+++ b/briarpond/reachability/_reachability.py
@@ -133,8 +133,10 @@
         if self._return is not None:
             self._return.record_answer(now)
             self._end_cut_if_back(now)
-        elif self._round is not None and began_at >= self._round.began_at:
-            self._end_round(now)
+        elif self._round is not None:
+            ends_doubt = self.state() is LinkState.REACHING
+            if ends_doubt or began_at >= self._round.began_at:
+                self._end_round(now)
 
     def record_check(self, check: Check, is_answered: bool, now: float) -> None:
         """Take the result of a check."""
--- a/tests/reachability/test_reachability.py
+++ b/tests/reachability/test_reachability.py
@@ -271,3 +271,21 @@
     links.cut(0.0)
     links.run(0.2)
     assert links.is_cut_off and links.reachability.checked == 5
+
+
+# Guards against a cut that is found from checks of an earlier doubt.
+def test_round_ends_with_its_doubt():
+    links = Links(servers(63))
+    links.cut(0.05)
+    links.fail("s0")
+    links.now += 0.01
+    connected_from = links.now
+    links.now += 0.01
+    links.run(0.04)
+    links.reachability.note_connected(connected_from, links.now)
+    links.run(1.0)
+    assert links.reachability.state() is LinkState.REACHING
+    links.fail("s1")
+    links.run(1.0)
+    assert links.is_cut_off and links.reachability.checked == 5
+    assert links.reachability.elapsed_s < 1.0
