--- a/tests/gateway/test_reach_link.py
+++ b/tests/gateway/test_reach_link.py
@@ -5,9 +5,11 @@
 """
 
 from functools import partial
+from types import SimpleNamespace
 
 import pytest
 
+from briarpond.gateway._node import Node
 from briarpond.net import LossReason
 from briarpond.reachability import LinkState, LossKind
 
@@ -190,3 +192,41 @@
     gateway.send_stream_request()
     connecting[0].on_sent()
     assert state.reachability.state() is LinkState.REACHING
+
+
+def stalled_reports(gateway):
+    """Return the servers that other nodes are told to avoid, as the list fills."""
+    told = []
+    node = SimpleNamespace(
+        state=gateway.state,
+        _planner=SimpleNamespace(planning=False),
+        _peers=SimpleNamespace(announce=lambda stalled: told.extend(stalled)),
+    )
+    gateway.ingress._report_stalled = lambda server: Node._on_stalled(node, server)
+    return told
+
+
+# Guards against sound servers that all nodes avoid, because one of them has lost its links.
+@pytest.mark.parametrize("cut", ALL_CUTS)
+def test_cut_node_tells_nobody_that_servers_are_stalled(gateway, cut):
+    told = stalled_reports(gateway)
+    begin_streams(gateway, 6)
+    gateway.client.begin(cut)
+    gateway.send_stream_request()
+    for _ in range(60):
+        gateway.clock.advance(0.05)
+    gateway.client.begin(Cut.NONE)
+    gateway.clock.advance(1.0)
+    assert gateway.changes == [True, False]
+    assert told == []
+
+
+def test_server_that_refuses_connections_is_reported_at_once(gateway):
+    told = stalled_reports(gateway)
+    target = gateway.state.groups(gateway.clock.now())[0]
+    gateway.client.refusing = {target.address}
+    while not told and gateway.clock.now() < 103.0:
+        gateway.send_stream_request()
+        gateway.clock.advance(0.1)
+    assert told == [target.head]
+    assert not gateway.is_cut_off
