A node that is cut off from servers passes requests to another node

Cause: each node sent requests to servers itself only.

Change: while `NodeState.reachability` says that a node is cut off, each of its sends goes to another node by the peer port (`gateway/_hop_*.py`), one hop at most. Sends that wait for a connection are rerouted, and hedges wait for the check of the links, so that they don't use up attempts.

--- a/briarpond/dispatch/_budget.py
+++ b/briarpond/dispatch/_budget.py
@@ -59,6 +59,11 @@
         self._retry_times.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Take back the last retry that was counted, since it has reached no server."""
+        if self._retry_times:
+            self._retry_times.pop()
+
     def _discard_expired(self, now: float) -> None:
         window_start = now - self._window_s
         for times in (self._request_times, self._retry_times):
--- a/briarpond/gateway/_answer_head.py
+++ b/briarpond/gateway/_answer_head.py
@@ -5,6 +5,8 @@
 from briarpond.net import Headers, media_type
 from briarpond.platform import HOP_BY_HOP_HEADERS, PlatformHeader
 
+from ._hop_headers import HOP_HEADERS
+
 # The least status of an answer that is a failure.
 FIRST_ERROR_STATUS = 400
 # Statuses with which a server may state that it has not executed a request.
@@ -12,7 +14,7 @@
 # Headers by which an answer states where it ends.
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 # Headers of a server's answer that are not sent to the caller.
-_DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"content-length"}
+_DROPPED_HEADERS = HOP_BY_HOP_HEADERS | HOP_HEADERS | {"content-length"}
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
--- a/briarpond/gateway/_caller_reply.py
+++ b/briarpond/gateway/_caller_reply.py
@@ -1,9 +1,12 @@
 """The answer to the caller: what of a server's answer is passed on, and own statuses."""
 
-from briarpond.net import HttpReply
+from collections.abc import Callable
+
+from briarpond.net import Headers, HttpReply
 from briarpond.routes import Route, RouteKind
 
 from ._answer_head import AnswerHead
+from ._hop_headers import HopEnd, end_headers, runs_header
 from ._send import Send
 from ._send_state import SendPhase
 
@@ -17,6 +20,9 @@
         Receives the answer.
     route : Route
         Route of the request.
+    describe_end : callable or None
+        Returns why there is no whole answer, and how often the request may have run, for the node
+        that has passed the request on; None if a caller has sent it here.
 
     Attributes
     ----------
@@ -28,12 +34,15 @@
         Id of the last event that was passed on; None before the first.
     """
 
-    def __init__(self, reply: HttpReply, route: Route) -> None:
+    def __init__(
+        self, reply: HttpReply, route: Route, describe_end: Callable[[], HopEnd] | None = None
+    ) -> None:
         self.status = 0
         self.first_byte_at: float | None = None
         self.last_event_id: bytes | None = None
         self._reply = reply
         self._route = route
+        self._describe_end = describe_end
         # Heads of the answers whose events were passed on first and last.
         self._begun_head: AnswerHead | None = None
         self._present_head: AnswerHead | None = None
@@ -67,7 +76,7 @@
         if self._begun_head is None:
             self._begun_head = send.head
             self._begin(send.head, now)
-            self._reply.start(self.status, send.head.forwarded_headers)
+            self._reply.start(self.status, self._answer_headers(send.head))
         self._present_head = send.head
         self.last_event_id = send.buffer.last_event_id or self.last_event_id
         self._reply.write(complete_events)
@@ -79,22 +88,40 @@
     def send_whole(self, head: AnswerHead, body: bytes, now: float) -> None:
         """Send a plain answer of a server."""
         self._begin(head, now)
-        self._reply.send_whole(self.status, head.forwarded_headers, body)
+        self._reply.send_whole(self.status, self._answer_headers(head), body)
 
     def refuse(self, retry_after_s: float) -> None:
         """Answer that the request has not run."""
         self.status = 503
         headers = (("Retry-After", f"{max(0.0, retry_after_s):.3f}"),)
-        self._reply.send_whole(self.status, headers, b"")
+        self._reply.send_whole(self.status, (*headers, *self._end_headers()), b"")
 
     def fail(self, status: int) -> None:
         """Answer that the request may have run."""
         self.status = status
-        self._reply.send_whole(status, (), b"")
+        self._reply.send_whole(status, self._end_headers(), b"")
 
     def cut(self) -> None:
-        """Break off a stream, so that it doesn't look complete."""
-        self._reply.abort()
+        """Break off a stream, so that it doesn't look complete.
+
+        A node that has passed the request on is told why, by trailers.
+        """
+        if self._describe_end is None:
+            self._reply.abort()
+        else:
+            self._reply.end(self._end_headers())
+
+    def _end_headers(self) -> Headers:
+        """Return what another node is told of a request without a whole answer."""
+        if self._describe_end is None:
+            return ()
+        end = self._describe_end()
+        return end_headers(end.reason, end.runs)
+
+    def _answer_headers(self, head: AnswerHead) -> Headers:
+        if self._describe_end is None:
+            return head.forwarded_headers
+        return (*head.forwarded_headers, *runs_header(self._describe_end().runs))
 
     def _begin(self, head: AnswerHead, now: float) -> None:
         self.status = head.status
--- a/briarpond/gateway/_ingress.py
+++ b/briarpond/gateway/_ingress.py
@@ -4,12 +4,14 @@
 
 import msgspec
 
-from briarpond.ids import InstanceId, PromptPart
+from briarpond.ids import InstanceId, PromptPart, ServiceName
 from briarpond.logs import log_event, reserved_lines
 from briarpond.net import HttpReply, HttpRequest, run_guarded
 from briarpond.platform import PlatformHeader, bearer_key
-from briarpond.routes import choose_service
+from briarpond.routes import Route, choose_service
 
+from ._hop_headers import Hop, end_headers, is_node_target
+from ._hop_send import NOT_RUN_STATUS
 from ._run import ForwardedRequest
 from ._send import Send
 from ._state import NodeState
@@ -35,6 +37,8 @@
 # A head none of whose streams made progress for this long counts as stalled: a member of
 # its group is probably lost. Twice as long while none of the streams has begun.
 STALL_TIMEOUT_S = 0.45
+# The same of a node that passes requests on, which asks other servers itself before.
+NODE_STALL_TIMEOUT_S = 1.0
 
 
 class _Refusal(msgspec.Struct, frozen=True):
@@ -99,13 +103,14 @@
 
     def open_sends(self) -> list[Send]:
         """Return the sends to servers that are under way."""
-        return [send for forwarded in self._requests for send in forwarded.open_sends]
+        sends = (send for forwarded in self._requests for send in forwarded.open_sends)
+        return [send for send in sends if not is_node_target(send.server)]
 
     def start(self) -> None:
         """Start the periodic check for stalled streams."""
         self._state.clock.every(STALL_CHECK_INTERVAL_S, self._check_stalls)
 
-    def handle(self, request: HttpRequest, reply: HttpReply) -> None:
+    def handle(self, request: HttpRequest, reply: HttpReply, hop: Hop | None = None) -> None:
         """Forward a request whose body was read in full, or refuse it.
 
         Parameters
@@ -114,34 +119,39 @@
             The caller's request.
         reply : HttpReply
             Receives the answer, now or later.
+        hop : Hop or None
+            What the node that has passed the request on tells of it; None if a caller has sent it
+            here. It is routed, checked and held to the limits of this node all the same.
         """
         state = self._state
         route_table = state.route_table
         if route_table is None or self.refusing:
-            self._refuse(request, reply, self._not_ready_refusal())
+            self._refuse(request, reply, self._not_ready_refusal(), hop)
             return
         path = request.target.split("?", 1)[0]
         route = route_table.find(request.header("host") or "", path)
         if route is None:
-            self._refuse(request, reply, _Refusal(404, "no_route"))
+            self._refuse(request, reply, _Refusal(404, "no_route"), hop)
             return
         key = bearer_key(request.header(PlatformHeader.AUTHORIZATION))
         needs_key = route_table.config.requires_keys and not route.public
         if needs_key and not self._keys_are_current():
-            self._refuse(request, reply, _Refusal(503, "keys_stale", OTHER_NODE_RETRY_S))
+            refusal = _Refusal(503, "keys_stale", OTHER_NODE_RETRY_S)
+            self._refuse(request, reply, refusal, hop)
             return
         if not route_table.allows(route, key):
-            self._refuse(request, reply, _Refusal(401, "unknown_key"))
+            self._refuse(request, reply, _Refusal(401, "unknown_key"), hop)
             return
         forwarded = ForwardedRequest(
             state,
             request,
             reply,
             route,
-            choose_service(route, state.rng),
+            self._service_of(route, hop),
             route_table.tenant_of_key(key),
             self._remove,
             self._on_stalled,
+            hop,
         )
         if not self._can_finish(forwarded):
             forwarded.refuse("stopping", self._stopping_retry_s())
@@ -240,12 +250,23 @@
             and age < self._state.settings.bounds.revoke_within_s * KEYS_MAX_AGE_SHARE
         )
 
-    def _refuse(self, request: HttpRequest, reply: HttpReply, refusal: _Refusal) -> None:
+    def _service_of(self, route: Route, hop: Hop | None) -> ServiceName:
+        """Return the service that a request goes to: that which it went to before, if any."""
+        if hop is not None and any(hop.service == each.service for each in route.services):
+            return hop.service
+        return choose_service(route, self._state.rng)
+
+    def _refuse(
+        self, request: HttpRequest, reply: HttpReply, refusal: _Refusal, hop: Hop | None
+    ) -> None:
         state = self._state
         headers = ()
         if refusal.retry_after_s is not None:
             headers = (("Retry-After", f"{refusal.retry_after_s:.3f}"),)
-        state.metrics.requests.inc({"kind": "none", "status": str(refusal.status)})
+        if hop is None:
+            state.metrics.requests.inc({"kind": "none", "status": str(refusal.status)})
+        elif refusal.status == NOT_RUN_STATUS:
+            headers = (*headers, *end_headers(refusal.reason, 0))
         age = self._config_age(state.clock.now())
         log_event(
             "request",
@@ -255,6 +276,7 @@
             reason=refusal.reason,
             config=state.config.version if state.config else 0,
             config_age_ms=-1 if age is None else int(age * 1000),
+            origin="-" if hop is None else hop.origin,
         )
         reply.send_whole(refusal.status, headers, b"")
 
@@ -276,6 +298,7 @@
         self._stalls_checked_at = now
         if was_late:
             return
+        self._reroute_requests(now)
         latest_progress: dict[InstanceId, float] = {}
         streams_begun: dict[InstanceId, int] = {}
         sends = [
@@ -289,8 +312,7 @@
         stalled_servers = {
             server
             for server, progress_at in latest_progress.items()
-            if now - progress_at
-            > (STALL_TIMEOUT_S if streams_begun[server] else 2 * STALL_TIMEOUT_S)
+            if now - progress_at > _stall_timeout_s(server, streams_begun[server] > 0)
         }
         for server in stalled_servers:
             if not self._state.is_avoided(server, now):
@@ -307,6 +329,13 @@
             self._on_stalled(server)
         self._schedule_held_check()
 
+    def _reroute_requests(self, now: float) -> None:
+        """Take requests off servers that this node, being cut off, tries to connect to."""
+        if not self._state.reachability.is_cut_off(now):
+            return
+        for forwarded in list(self._requests):
+            forwarded.reroute(now)
+
     def _hedge_requests_at(self, stalled_servers: set[InstanceId], now: float) -> None:
         """Ask other servers too for requests that only stalled ones have, most urgent first."""
         silent_requests = [
@@ -324,5 +353,11 @@
         now = self._state.clock.now()
         newly_stalled = not self._state.is_avoided(server, now)
         self._state.avoid(server, now)
-        if newly_stalled:
+        if newly_stalled and not is_node_target(server):
             self._report_stalled(server)
+
+
+def _stall_timeout_s(server: InstanceId, has_begun: bool) -> float:
+    """Return after how long without progress a server, or a node, counts as stalled."""
+    timeout_s = NODE_STALL_TIMEOUT_S if is_node_target(server) else STALL_TIMEOUT_S
+    return timeout_s if has_begun else 2 * timeout_s
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -45,6 +45,12 @@
             "Sends to another server while a cold one had room and was not due.",
             registry=self.registry,
         )
+        self.hops = Counter(
+            "briarpond_gateway_hops_total",
+            "Requests that nodes cut off from servers have passed to this one, by what became of "
+            "them.",
+            registry=self.registry,
+        )
         self.orders = Counter(
             "briarpond_gateway_orders_total",
             "Orders to instances by kind and status.",
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -43,6 +43,8 @@
 from ._config_keeper import ConfigKeeper
 from ._connection_log import record_connection_end
 from ._handover import PlanningHandover
+from ._hop_headers import read_hop
+from ._hop_receiver import answer_hop, peer_limits
 from ._ingress import Ingress
 from ._instance_list import InstanceList
 from ._lease import MAX_CANDIDATES, PlannerLease
@@ -157,6 +159,7 @@
         )
         clock += self._peers
         sync = self._peers.sync
+        self.state.hops.members = sync.members.live
         self._registry = NodeRegistry(
             self._store,
             clock,
@@ -192,9 +195,10 @@
                 settings.caller_address, clock, poller, connector, self._caller_endpoint.accept
             )
         ]
+        self._peer_endpoint = self._make_server(self._answer_internal)
         auxiliary_endpoints = {
             settings.readiness_address: self._make_server(self._answer_auxiliary),
-            peer_address: self._make_server(self._answer_internal),
+            peer_address: self._peer_endpoint,
         }
         if settings.directory_address is not None:
             auxiliary_endpoints.setdefault(
@@ -285,6 +289,7 @@
             limits.header_timeout_s,
             limits.idle_timeout_s,
         )
+        self._peer_endpoint.limits = peer_limits(self._caller_endpoint.limits)
         self._announce_config()
 
     def _on_evacuation(self) -> None:
@@ -471,7 +476,10 @@
 
     def _answer_internal(self, request: HttpRequest, reply: HttpReply) -> None:
         """Answer a request from inside the deployment, of another node or of an operator."""
-        if request.target.startswith(QUARANTINE_PATH):
+        hop = read_hop(request)
+        if hop is not None:
+            answer_hop(self.state, self.ingress, self.ready, request, reply, hop)
+        elif request.target.startswith(QUARANTINE_PATH):
             answer_quarantine(self.state.quarantine, request, reply, self._clock.now())
         else:
             self._config.answer_node(request, reply)
--- a/briarpond/gateway/_outcome.py
+++ b/briarpond/gateway/_outcome.py
@@ -82,11 +82,13 @@
     state, route, caller = context.state, context.route, context.caller
     read_at = caller.http.read_at
     kind = route.kind.value
-    state.metrics.requests.inc({"kind": kind, "status": str(reply.status)})
-    state.metrics.duration.observe({"kind": kind}, now - read_at)
     first_byte_at = reply.first_byte_at
-    if first_byte_at is not None:
-        state.metrics.first_byte.observe({"kind": kind}, first_byte_at - read_at)
+    # The node that has passed a request on counts it.
+    if context.hop is None:
+        state.metrics.requests.inc({"kind": kind, "status": str(reply.status)})
+        state.metrics.duration.observe({"kind": kind}, now - read_at)
+        if first_byte_at is not None:
+            state.metrics.first_byte.observe({"kind": kind}, first_byte_at - read_at)
     log_event(
         "request",
         id=caller.id,
@@ -102,4 +104,5 @@
         seen_tokens=round(context.cost.seen_tokens),
         part=ending.quarantined_part or "-",
         config=state.config.version if state.config else 0,
+        origin="-" if context.hop is None else context.hop.origin,
     )
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -11,6 +11,8 @@
 from briarpond.routes import EngineSpec, HostedModel, Route, Tenant, request_priority
 
 from ._caller_request import CallerRequest
+from ._hop_headers import Hop
+from ._hop_link import HopTarget
 from ._request_cost import RequestCost
 from ._state import NodeState
 from ._stopping import longest_duration_s
@@ -34,6 +36,9 @@
         The request.
     cost : RequestCost
         Expected and seen length of the answer.
+    hop : Hop or None
+        What the node that has passed the request on tells of it; None if a caller has sent it
+        here. One that was passed on is never passed on again.
     """
 
     state: NodeState
@@ -42,6 +47,7 @@
     tenant: Tenant | None
     caller: CallerRequest
     cost: RequestCost = msgspec.field(default_factory=RequestCost)
+    hop: Hop | None = None
 
     @property
     def runs_in_group(self) -> bool:
@@ -139,6 +145,10 @@
         budget = self.state.retry_budget(self.service)
         return budget.try_acquire(self.state.node_count, now)
 
+    def give_back_retry_budget(self) -> None:
+        """Take back a send that was counted by the retry budget and has reached no server."""
+        self.state.retry_budget(self.service).give_back()
+
     def may_hedge(self, progress: SendProgress, now: float) -> bool:
         """Whether the route and the sends so far permit another send beside one under way."""
         remaining_s = self.caller.expires_at - now
@@ -149,6 +159,26 @@
         return self.quarantine_block(now) is None and self.take_retry_budget(now)
 
 
+def choose_helper_for(
+    context: RequestContext, tried: Container[InstanceId], now: float
+) -> HopTarget | None:
+    """Return the node that a request is passed to; None if it goes to a server from here.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The request.
+    tried : container of InstanceId
+        Servers, and names of nodes, that are left out.
+    now : float
+        Present time.
+    """
+    state = context.state
+    if context.hop is not None or not state.hops.is_cut_off(now):
+        return None
+    return state.hops.choose(tried, state.is_avoided, now)
+
+
 def best_choice(
     context: RequestContext, tried: Container[InstanceId], now: float
 ) -> ServerChoice | None:
@@ -166,9 +196,13 @@
     Returns
     -------
     ServerChoice or None
-        The best server, which may have no room; None if no server is left.
+        The best server, which may have no room, or a node that passes the request on if this one
+        reaches no servers; None if neither is left.
     """
     state = context.state
+    helper = choose_helper_for(context, tried, now)
+    if helper is not None:
+        return ServerChoice(helper.name, helper.address, 0.0, True, helper=helper.node)
     engine = state.engine(context.service)
     if engine is None:
         return best_server(state, context.service, tried, now, state.rng)
--- a/briarpond/gateway/_request_sends.py
+++ b/briarpond/gateway/_request_sends.py
@@ -6,6 +6,7 @@
 from briarpond.ids import InstanceId
 from briarpond.logs import log_event
 
+from ._hop_send import HopSend, HopTerms
 from ._request_context import RequestContext
 from ._send import Send, SendCallbacks
 from ._send_state import SendPhase
@@ -40,6 +41,10 @@
         Sends among them after which the request may have run.
     failed_connects : int
         Sends for which no connection could be opened.
+    hop_refusals : int
+        Nodes that have refused to pass the request on. They do not count as sends.
+    is_counted : bool
+        Whether a node has counted the request for its retry budget.
     """
 
     def __init__(self, context: RequestContext, callbacks: SendCallbacks) -> None:
@@ -48,10 +53,13 @@
         self.sent = 0
         self.possible_runs = 0
         self.failed_connects = 0
+        self.hop_refusals = 0
+        self.is_counted = True
         self._excluded: list[InstanceId] = []
         self._ran_at: list[InstanceId] = []
         self._unneeded: list[InstanceId] = []
         self._next_hedge_at = 0.0
+        self._hedge_wanted_at: float | None = None
         self._context = context
         self._callbacks = callbacks
 
@@ -79,6 +87,12 @@
         """Whether all sends are with servers, and no attempt at another has just failed."""
         return self.all_sent and now >= self._next_hedge_at
 
+    def hedge_waited_s(self, now: float) -> float:
+        """Return for how long a second send to another server has been wanted."""
+        if self._hedge_wanted_at is None:
+            self._hedge_wanted_at = now
+        return now - self._hedge_wanted_at
+
     def delay_hedge(self, now: float) -> None:
         """Put the next attempt at a second send off, since this one started none."""
         self._next_hedge_at = now + HEDGE_RETRY_INTERVAL_S
@@ -107,15 +121,24 @@
         """
         if choice.is_cold_detour:
             self._context.state.metrics.cold_detours.inc({})
+        self._hedge_wanted_at = None
         self.tried.append(choice.instance)
         self._excluded.append(choice.instance)
         if choice.instance in self._unneeded:
             self._unneeded.remove(choice.instance)
-        send = Send(self._context, choice, self._callbacks, now)
+        send = self._make_send(choice, now)
         send.number = self.sent
         self.open.append(send)
         send.start(last_event_id)
 
+    def _make_send(self, choice: ServerChoice, now: float) -> Send:
+        if choice.helper is None:
+            return Send(self._context, choice, self._callbacks, now)
+        attempts_left = max(1, self._context.route.max_attempts - self.possible_runs)
+        terms = HopTerms(attempts_left, self.is_counted)
+        self.is_counted = True
+        return HopSend(self._context, choice, self._callbacks, terms, now)
+
     def log_hedge(self, server: InstanceId, now: float) -> None:
         """Log that another server is asked too, since those that have the request are silent."""
         log_event(
@@ -138,8 +161,13 @@
         if failure is SendFailure.NOT_EXECUTED:
             self.possible_runs -= 1
             self._ran_at.remove(send.server)
+            if isinstance(send, HopSend):
+                self.sent -= 1
+                self.hop_refusals += 1
         elif failure is SendFailure.NOT_SENT:
             self.failed_connects += 1
+        else:
+            self.possible_runs += send.runs - 1
         if failure is not SendFailure.UNKNOWN and send.server in self._ran_at:
             # It is the earlier run of this server that counts, which was not needed.
             self._unneeded.append(send.server)
@@ -175,6 +203,7 @@
     def end(self, send: Send, reason: str, now: float) -> None:
         """End one of several sends that are under way, and say why."""
         send.log_lost(reason, now)
+        self.possible_runs += send.runs - 1
         self._context.state.metrics.sends.inc({"end": reason})
         self.cancel(send)
 
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from briarpond.dispatch import (
+    MIN_REMAINING_S,
     AdmissionAction,
     RecoveryAction,
     ResumePause,
@@ -14,19 +15,26 @@
 from briarpond.ids import InstanceId, PromptPart, ServiceName
 from briarpond.net import HttpReply, HttpRequest, run_guarded
 from briarpond.quarantine import Block
+from briarpond.reachability import LinkState, Verdict
 from briarpond.routes import ModelName, Route, Tenant
 
 from ._answer_head import AnswerHead
 from ._caller_reply import CallerReply
 from ._caller_request import read_caller_request
+from ._hop_choice import CUT_OFF_REASON, REFUSED_PAUSE_S, pause_after_refusal_s
+from ._hop_headers import Hop, HopEnd
+from ._hop_send import HopSend, is_connecting_to_server, limit_attempts
 from ._outcome import Ending, Outcome, record_ending
 from ._pressure import Pressure, RequestPressure
-from ._request_context import RequestContext, best_choice
+from ._request_context import RequestContext, best_choice, choose_helper_for
 from ._request_sends import SILENT_REASON, RequestSends
 from ._send import Send, SendCallbacks
 from ._state import NodeState
 from ._targets import ServerChoice
 
+# A second send to another server waits this long for checks of this node's own links, in seconds.
+MAX_VERDICT_WAIT_S = 0.3
+
 
 class ForwardedRequest:
     """Sends a request to a backend server, relays the answer and repeats failed sends.
@@ -49,6 +57,8 @@
         Called once with this object when the request has ended.
     on_stalled : callable
         Called with a server that is unreachable or reports a stalled group.
+    hop : Hop or None
+        What the node that has passed the request on tells of it; None if a caller has sent it here.
 
     Attributes
     ----------
@@ -68,16 +78,19 @@
         tenant: Tenant | None,
         on_done: Callable[["ForwardedRequest"], None],
         on_stalled: Callable[[InstanceId], None],
+        hop: Hop | None = None,
     ) -> None:
+        if hop is not None:
+            route = limit_attempts(route, hop.attempts)
         self.route = route
         self.done = False
         self.held = False
         self._state = state
-        self._reply = CallerReply(reply, route)
+        self._reply = CallerReply(reply, route, None if hop is None else self._describe_end)
         self._service = service
         self._on_done = on_done
         self._caller = read_caller_request(request, route.timeout_s)
-        self._context = RequestContext(state, route, service, tenant, self._caller)
+        self._context = RequestContext(state, route, service, tenant, self._caller, hop=hop)
         callbacks = SendCallbacks(
             self._on_sent,
             self._head_problem,
@@ -93,6 +106,7 @@
         self._reason = ""
         self._quarantined_part: PromptPart | None = None
         self._is_send_granted = False
+        self._paused_until = float("-inf")
         reply.on_disconnect = self._on_caller_gone
 
     @property
@@ -119,13 +133,22 @@
         """Count the request, start its timeout and try to send it."""
         state = self._state
         now = state.clock.now()
-        state.retry_budget(self._service).record_request(now)
+        self._count_for_retry_budget(now)
         engine = state.engine(self._service)
-        if engine is not None:
+        if engine is not None and self._context.hop is None:
             state.count_demand(self._context.hosted_model, engine, self._caller.size, now)
         state.clock.after(self._caller.expires_at - now, self._on_timeout)
         self.try_send()
 
+    def _count_for_retry_budget(self, now: float) -> None:
+        """Let the request raise the retry budget here, or at the node that it is passed to."""
+        hop = self._context.hop
+        if hop is not None and hop.is_counted:
+            return
+        self._sends.is_counted = choose_helper_for(self._context, (), now) is None
+        if self._sends.is_counted:
+            self._state.retry_budget(self._service).record_request(now)
+
     def refuse(self, reason: str, retry_after_s: float) -> None:
         """End a request that was not started as not run."""
         self._reason = reason
@@ -154,6 +177,12 @@
         if self.done or self._sends.open:
             return
         now = self._state.clock.now()
+        if now < self._paused_until:
+            self.held = True
+            return
+        if self._must_give_back(now):
+            self._give_back()
+            return
         block = self._context.quarantine_block(now)
         if block is not None:
             self._end_in_quarantine(block)
@@ -165,7 +194,7 @@
             self._continue_stream(choice, now)
             return
         pressure = Pressure()
-        if not self.was_tried:
+        if not self.was_tried and (choice is None or choice.helper is None):
             pressure = self._pressure.rate(choice, first_event_goal_s, now)
         if pressure.reason is not None:
             self._refuse_for_load(pressure.reason.value, pressure.retry_after_s)
@@ -233,7 +262,10 @@
         self._run_confined(self._hedge, now)
 
     def _hedge(self, now: float) -> None:
-        if self.done or not self._sends.may_hedge_at(now):
+        if self.done or not self._sends.may_hedge_at(now) or self._awaits_verdict(now):
+            return
+        if self._must_give_back(now) and self.route.repeatable:
+            self._give_back()
             return
         if not self._context.may_hedge(self._sends.progress(self._reply.has_begun), now):
             return
@@ -245,6 +277,43 @@
         else:
             self._sends.delay_hedge(now)
 
+    def _awaits_verdict(self, now: float) -> bool:
+        """Whether this node's own links may be why the servers are silent, and are checked now.
+
+        A second send would be lost as well, and use up an attempt.
+        """
+        reachability = self._state.reachability
+        if reachability.state() is not LinkState.IN_DOUBT:
+            return False
+        silent_since = max(send.last_progress for send in self._sends.open)
+        if reachability.verdict(silent_since) is not Verdict.HOLD:
+            return False
+        return self._sends.hedge_waited_s(now) < MAX_VERDICT_WAIT_S
+
+    def reroute(self, now: float) -> None:
+        """Take the request off servers to which no connection is open, if a node can pass it on."""
+        self._run_confined(self._reroute, now)
+
+    def _reroute(self, now: float) -> None:
+        connecting = [send for send in self._sends.open if is_connecting_to_server(send)]
+        if self.done or not connecting:
+            return
+        helper = choose_helper_for(self._context, self._sends.excluded, now)
+        if helper is None and not self._must_give_back(now):
+            return
+        for send in connecting:
+            send.log_lost(CUT_OFF_REASON, now)
+            self._on_send_failed(send, SendFailure.NOT_SENT, CUT_OFF_REASON)
+
+    def _must_give_back(self, now: float) -> bool:
+        """Whether the request was passed to this node, which is now cut off from servers itself."""
+        return self._context.hop is not None and self._state.reachability.is_cut_off(now)
+
+    def _give_back(self) -> None:
+        """End a request of another node, which goes on with what is left of its attempts."""
+        self._reason = CUT_OFF_REASON
+        self._end_without_answer(0.0)
+
     # Sends
 
     def _continue_stream(self, choice: ServerChoice | None, now: float) -> None:
@@ -331,7 +400,16 @@
         self._reason = reason
         self._state.metrics.sends.inc({"end": reason})
         self._sends.record_failure(send, failure)
+        is_hop_refused = isinstance(send, HopSend) and failure is SendFailure.NOT_EXECUTED
         if self._sends.open:
+            if is_hop_refused and send.has_reached_no_server:
+                self._context.give_back_retry_budget()
+            return
+        if is_hop_refused:
+            self._on_hop_refused(send, now)
+            return
+        if isinstance(send, HopSend) and send.is_time_over:
+            self._on_timeout()
             return
         progress = self._sends.progress(self._reply.has_begun)
         remaining_s = self._caller.expires_at - now
@@ -348,6 +426,26 @@
         else:
             self._end_without_answer(0.0)
 
+    def _on_hop_refused(self, send: HopSend, now: float) -> None:
+        """Pass a request that a node has refused as not run to another one, or end it."""
+        assert send.end is not None
+        remaining_s = self._caller.expires_at - now
+        if self._reply.has_begun:
+            self._is_send_granted = send.has_reached_no_server
+            self._resume_pause.begin(remaining_s, now)
+            self._hold_begun_stream()
+            return
+        pause_s = pause_after_refusal_s(send.end.reason, self._sends.hop_refusals)
+        if pause_s is None or remaining_s - pause_s < MIN_REMAINING_S:
+            self._end_without_answer(send.end.retry_after_s)
+            return
+        if choose_helper_for(self._context, self._sends.excluded, now) is None:
+            pause_s = REFUSED_PAUSE_S
+        if pause_s:
+            self._sends.forget_refusals()
+        self._paused_until = now + pause_s
+        self.try_send()
+
     def _repeat(self, is_granted: bool) -> None:
         """Send the request once more if the retry budget grants it; a begun stream waits for it."""
         self._is_send_granted = is_granted
@@ -372,6 +470,10 @@
         self._reason = "internal_error"
         self._end_without_answer(0.0)
 
+    def _describe_end(self) -> HopEnd:
+        """Return what the node that has passed the request on is told of it."""
+        return HopEnd(self._reason, self._sends.possible_runs)
+
     def _end_without_answer(self, retry_after_s: float) -> None:
         """End a request that got no complete answer.
 
--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -92,6 +92,8 @@
         Status and headers of the answer, if they are of use; None before.
     buffer : AnswerBuffer
         What is kept of the answer.
+    runs : int
+        Servers at which the request may have run by this send once a byte of it was sent.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         self.is_open = True
         self.last_progress = now
         self.first_event_seen = False
+        self.runs = 1
         self.progress = SendState(now, choice.epoch)
         self.head: AnswerHead | None = None
         self.buffer = AnswerBuffer(context.state.kept_bytes, context.route.repeatable)
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -41,6 +41,7 @@
 from briarpond.routes import EngineSpec, GatewayConfiguration, HostedModel, RouteTable
 
 from ._cold_link import ColdLink, cold_limit
+from ._hop_link import HopLink
 from ._kept_bytes import KeptBytes
 from ._metrics import GatewayMetrics
 from ._quarantine_link import QuarantineLink
@@ -138,6 +139,8 @@
         Pacing of requests to cold servers.
     quarantine_link : QuarantineLink
         Prompt parts that end servers, and what is reported of them.
+    hops : HopLink
+        Nodes that pass requests to servers for this one while it is cut off from them.
     evacuated : frozenset of DataCentre
         Data centres whose servers get no requests, by the operator's order.
     reachability : Reachability
@@ -185,6 +188,12 @@
         )
         self.evacuated: frozenset[DataCentre] = frozenset()
         self.reachability = Reachability()
+        self.hops = HopLink(
+            settings.data_centre,
+            settings.peer_port,
+            self.rng,
+            lambda now: self.reachability.is_cut_off(now),
+        )
         self.hold_loss: Callable[[InstanceId, LossKind, Callable[[], None]], None] = _act_at_once
         self.leaving = False
         self.has_served = False
--- a/briarpond/gateway/_targets.py
+++ b/briarpond/gateway/_targets.py
@@ -16,7 +16,7 @@
     model_load,
     subset_size,
 )
-from briarpond.ids import InstanceId, ServiceName
+from briarpond.ids import InstanceId, NodeId, ServiceName
 from briarpond.net import Address
 from briarpond.routes import EngineSpec, HostedModel, ModelSpec
 
@@ -63,6 +63,9 @@
     slowdown_s : float
         Expected delay of the requests that run there already, all together; 0 for plain servers
         and while nothing is learned of answers.
+    helper : NodeId or None
+        Another node that passes the request on to a server of its choice; None if the request is
+        sent to a server itself. `instance` and `address` are then those of the node.
     """
 
     instance: InstanceId
@@ -73,6 +76,7 @@
     is_held_back: bool = False
     is_cold_detour: bool = False
     slowdown_s: float = 0.0
+    helper: NodeId | None = None
 
 
 class AllBut(Container[InstanceId]):
--- a/briarpond/net/_caller_connection.py
+++ b/briarpond/net/_caller_connection.py
@@ -131,9 +131,9 @@
         """Close the connection at once, in the middle of an answer."""
         self.give_up(CloseReason.ABORTED)
 
-    def end_response(self) -> None:
+    def end_response(self, trailers: Headers = ()) -> None:
         """End the answer; continue with the next request, or close the connection."""
-        self._send(self._h11.send(h11.EndOfMessage()))
+        self._send(self._h11.send(h11.EndOfMessage(headers=encode_headers(trailers))))
         self._reply = None
         self._request = None
         self._body.drop()
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -86,6 +86,8 @@
         An answer with another value belongs to an earlier request on the same
         connection and is discarded. One without the header is accepted only on a new
         connection.
+    on_trailers : callable or None
+        Called with the trailers of the answer, if it has any, just before `on_end`.
     """
 
     address: Address
@@ -101,6 +103,7 @@
     reuse_idle: bool = True
     connect_timeout_s: float = 1.0
     echoed_header: tuple[str, str] | None = None
+    on_trailers: Callable[[Headers], None] | None = None
 
 
 class Exchange:
@@ -217,7 +220,7 @@
                     self._on_response_head(event)
                 case h11.EndOfMessage():
                     if not self._discarding:
-                        self._complete()
+                        self._complete(decode_headers(event.headers))
                         return
                     self._await_next_response()
                 case h11.ConnectionClosed():
@@ -261,7 +264,7 @@
         if following_data:
             self._h11.receive_data(following_data)
 
-    def _complete(self) -> None:
+    def _complete(self, trailers: Headers) -> None:
         """End the call; keep the connection only if nothing is left in either direction."""
         self.state = CallState.ENDED
         assert self._conn is not None
@@ -270,6 +273,8 @@
             self._client.keep_idle(self._conn, self._idle_timeout_s)
         else:
             self._conn.close()
+        if trailers and self._call.on_trailers is not None:
+            self._call.on_trailers(trailers)
         self._call.on_end()
 
     def _fail(self, reason: LossReason) -> None:
--- a/briarpond/net/_http_reply.py
+++ b/briarpond/net/_http_reply.py
@@ -18,8 +18,8 @@
     def send_data(self, data: bytes) -> None:
         """Send a piece of the body."""
 
-    def end_response(self) -> None:
-        """End the answer."""
+    def end_response(self, trailers: Headers = ()) -> None:
+        """End the answer; trailers are sent only if it has no length."""
 
     def abort(self) -> None:
         """Close the connection at once, in the middle of the answer."""
@@ -67,11 +67,11 @@
         if not self.ended:
             self._conn.send_data(data)
 
-    def end(self) -> None:
-        """End the answer after its last piece."""
+    def end(self, trailers: Headers = ()) -> None:
+        """End the answer after its last piece; it may have trailers unless sent whole."""
         if not self.ended:
             self.ended = True
-            self._conn.end_response()
+            self._conn.end_response(trailers)
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees that the answer is truncated."""
--- a/briarpond/reachability/_reachability.py
+++ b/briarpond/reachability/_reachability.py
@@ -70,6 +70,11 @@
         """Whether this node reaches no backend servers, while others may reach them."""
         return self._return is not None
 
+    @property
+    def is_checking(self) -> bool:
+        """Whether checks are under way, none of which has been answered yet."""
+        return self._round is not None
+
     def was_cut_off_since(self, at: float) -> bool:
         """Whether this node is cut off, or was at some moment since a time."""
         return self._return is not None or self._cut_ended_at >= at
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -67,6 +67,16 @@
         assert retries_in_window <= ratio * requests_in_window + slack
 
 
+def test_retry_that_is_given_back_may_be_taken_again():
+    budget = SharedRetryBudget(0.0, 2.0, 10.0)
+    assert budget.try_acquire(1, 0.0) and not budget.try_acquire(1, 1.0)
+    budget.give_back()
+    assert budget.try_acquire(1, 2.0) and not budget.try_acquire(1, 10.1)
+    budget.give_back()
+    budget.give_back()
+    assert budget.try_acquire(1, 3.0) and not budget.try_acquire(1, 4.0)
+
+
 def test_load_of_other_nodes_counts_until_it_is_replaced():
     tracker = LoadTracker()
     tracker.record_sent("s", 500)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -146,9 +146,11 @@
     All groups serve the model `big`; the plain servers belong to the service `desk`.
     """
 
-    def __init__(self, tmp_path: Path, heads=("h1", "h2", "h3"), clock=None) -> None:
+    def __init__(
+        self, tmp_path: Path, heads=("h1", "h2", "h3"), clock=None, settings=SETTINGS
+    ) -> None:
         path = tmp_path / "node.yaml"
-        path.write_text(SETTINGS)
+        path.write_text(settings)
         self.clock = VirtualClock() if clock is None else clock
         self.client = ScriptedClient(self.clock)
         self.state = NodeState(load_gateway_settings(path).ok, self.clock, self.client)
