--- a/briarpond/dispatch/_budget.py
+++ b/briarpond/dispatch/_budget.py
@@ -98,6 +98,12 @@
         """Give back the grant of a retry that is not going to be sent."""
         self._unsent -= 1
 
+    def restore_grant(self) -> None:
+        """Count the last retry that was sent as granted again: it has reached no server."""
+        if self._sent_times:
+            self._sent_times.pop()
+            self._unsent += 1
+
     def usage(self, share: BudgetShare, now: float) -> RetryUsage:
         """Return what is used, and what may be; parameters as in `try_acquire`."""
         self._discard_expired(now)
--- a/briarpond/gateway/_metrics.py
+++ b/briarpond/gateway/_metrics.py
@@ -45,6 +45,12 @@
             "Sends to another server while a cold one had room and was not due.",
             registry=self.registry,
         )
+        self.hops = Counter(
+            "briarpond_gateway_hops_total",
+            "Requests that nodes cut off from servers have passed to this one, by what became of "
+            "them.",
+            registry=self.registry,
+        )
         self.orders = Counter(
             "briarpond_gateway_orders_total",
             "Orders to instances by kind and status.",
@@ -128,6 +134,16 @@
             "Data centres whose servers get no requests, by the operator's order.",
             registry=self.registry,
         )
+        self.cut_off = Gauge(
+            "briarpond_gateway_cut_off",
+            "1 while this node reaches no backend servers, 0 otherwise.",
+            registry=self.registry,
+        )
+        self.reach_checks = Counter(
+            "briarpond_gateway_reach_checks_total",
+            "New connections that only check whether servers are reached, by result.",
+            registry=self.registry,
+        )
         self.dropped_lines = Gauge(
             "briarpond_gateway_log_lines_dropped",
             "Log lines that the output did not take.",
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -35,12 +35,16 @@
     parse_address_query,
 )
 from briarpond.quarantine import trial_node
+from briarpond.reachability import LossKind
 from briarpond.routes import GatewayConfiguration
 
 from ._caller_bodies import body_budget_bytes, record_body_refusal
 from ._cold_link import RECENT_NODES_S
 from ._config_keeper import ConfigKeeper
 from ._connection_log import record_connection_end
+from ._handover import PlanningHandover
+from ._hop_headers import read_hop
+from ._hop_receiver import answer_hop, peer_limits
 from ._ingress import Ingress
 from ._instance_list import InstanceList
 from ._lease import MAX_CANDIDATES, PlannerLease
@@ -48,6 +52,7 @@
 from ._planner_link import PlannerRunner
 from ._pressure import measure_pressure
 from ._quarantine_api import QUARANTINE_PATH, answer_quarantine
+from ._reach_link import ReachLink
 from ._registry import NodeRegistry
 from ._shutdown import STOP_CHECK_INTERVAL_S, Shutdown
 from ._start_wait import start_wait_s
@@ -156,6 +161,7 @@
         )
         clock += self._peers
         sync = self._peers.sync
+        self.state.hops.members = sync.members.live
         self._registry = NodeRegistry(
             self._store,
             clock,
@@ -177,6 +183,10 @@
             self.state, self._lease, self._peers, lambda: self._instances_feed.known_until
         )
         self.ingress = Ingress(self.state, self._config.age, self._on_stalled)
+        handover = PlanningHandover(
+            clock, self.state.reachability, self._lease, self._planner, self._peers
+        )
+        self._reach = ReachLink(self.state, self.ingress.open_sends, handover.on_reach_changed)
         quarantine_link = self.state.quarantine_link
         quarantine_link.is_trial_node = self._is_trial_node
         quarantine_link.announce = lambda evidence: self._peers.announce(evidence=evidence)
@@ -187,9 +197,10 @@
                 settings.caller_address, clock, poller, connector, self._caller_endpoint.accept
             )
         ]
+        self._peer_endpoint = self._make_server(self._answer_internal)
         auxiliary_endpoints = {
             settings.readiness_address: self._make_server(self._answer_auxiliary),
-            peer_address: self._make_server(self._answer_internal),
+            peer_address: self._peer_endpoint,
         }
         if settings.directory_address is not None:
             auxiliary_endpoints.setdefault(
@@ -224,6 +235,7 @@
         self._lease.start()
         self._planner.start()
         self.ingress.start()
+        self._reach.start()
         self._clock.every(MISSING_CHECK_INTERVAL_S, self._expire_missing_instances)
         self._clock.every(HOUSEKEEPING_INTERVAL_S, self._run_housekeeping)
 
@@ -279,6 +291,7 @@
             limits.header_timeout_s,
             limits.idle_timeout_s,
         )
+        self._peer_endpoint.limits = peer_limits(self._caller_endpoint.limits)
         self._announce_config()
 
     def _on_evacuation(self) -> None:
@@ -374,6 +387,7 @@
             "leaving": self.state.leaving,
             "candidate": self._lease.is_candidate(self._clock.now()),
             "planning": self._planner.planning,
+            "cut_off": self.state.reachability.is_cut_off(self._clock.now()),
         }
 
     def _callbacks(self) -> SyncCallbacks:
@@ -455,7 +469,9 @@
         """Tell other nodes of a stalled server; on the planner, also probe its group."""
         if self._planner.planning:
             self._planner.probe_group_of(server)
-        self._peers.announce(stalled=(server,))
+        self.state.hold_loss(
+            server, LossKind.STALL, lambda: self._peers.announce(stalled=(server,))
+        )
 
     def _on_stalled_elsewhere(self, servers: tuple[InstanceId, ...]) -> None:
         now = self._clock.now()
@@ -467,7 +483,10 @@
 
     def _answer_internal(self, request: HttpRequest, reply: HttpReply) -> None:
         """Answer a request from inside the deployment, of another node or of an operator."""
-        if request.target.startswith(QUARANTINE_PATH):
+        hop = read_hop(request)
+        if hop is not None:
+            answer_hop(self.state, self.ingress, self.ready, request, reply, hop)
+        elif request.target.startswith(QUARANTINE_PATH):
             answer_quarantine(self.state.quarantine, request, reply, self._clock.now())
         else:
             self._config.answer_node(request, reply)
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -11,6 +11,8 @@
 from briarpond.routes import EngineSpec, HostedModel, Route, Tenant, request_priority
 
 from ._caller_request import CallerRequest
+from ._hop_headers import Hop
+from ._hop_link import HopTarget
 from ._request_cost import RequestCost
 from ._state import NodeState
 from ._stopping import longest_duration_s
@@ -48,6 +50,9 @@
         Expected and seen length of the answer.
     grant : RetryGrant
         What the retry budget has granted.
+    hop : Hop or None
+        What the node that has passed the request on tells of it; None if a caller has sent it
+        here. One that was passed on is never passed on again.
     """
 
     state: NodeState
@@ -57,6 +62,7 @@
     caller: CallerRequest
     cost: RequestCost = msgspec.field(default_factory=RequestCost)
     grant: RetryGrant = msgspec.field(default_factory=RetryGrant)
+    hop: Hop | None = None
 
     @property
     def runs_in_group(self) -> bool:
@@ -185,6 +191,15 @@
             self.grant.unsent_since = None
             self.state.retry_budget(self.service).release()
 
+    def restore_retry_grant(self, now: float) -> None:
+        """Reuse the grant of a repeat that has reached no server; a second one is given back."""
+        budget = self.state.retry_budget(self.service)
+        budget.restore_grant()
+        if self.grant.unsent_since is None:
+            self.grant.unsent_since = now
+        else:
+            budget.release()
+
     def may_hedge(self, progress: SendProgress, now: float) -> bool:
         """Whether the route and the sends so far permit another send beside one under way."""
         remaining_s = self.caller.expires_at - now
@@ -195,6 +210,26 @@
         return self.quarantine_block(now) is None and self.take_retry_budget(now)
 
 
+def choose_helper_for(
+    context: RequestContext, tried: Container[InstanceId], now: float
+) -> HopTarget | None:
+    """Return the node that a request is passed to; None if it goes to a server from here.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The request.
+    tried : container of InstanceId
+        Servers, and names of nodes, that are left out.
+    now : float
+        Present time.
+    """
+    state = context.state
+    if context.hop is not None or not state.hops.is_cut_off(now):
+        return None
+    return state.hops.choose(tried, state.is_avoided, now)
+
+
 def best_choice(
     context: RequestContext, tried: Container[InstanceId], now: float
 ) -> ServerChoice | None:
@@ -212,9 +247,13 @@
     Returns
     -------
     ServerChoice or None
-        The best server, which may have no room; None if no server is left.
+        The best server, which may have no room, or a node that passes the request on if this one
+        reaches no servers; None if neither is left.
     """
     state = context.state
+    helper = choose_helper_for(context, tried, now)
+    if helper is not None:
+        return ServerChoice(helper.name, helper.address, 0.0, True, helper=helper.node)
     engine = state.engine(context.service)
     if engine is None:
         return best_server(state, context.service, tried, now, state.rng)
--- a/briarpond/gateway/_state.py
+++ b/briarpond/gateway/_state.py
@@ -39,10 +39,12 @@
 from briarpond.net import Clock, HttpClient
 from briarpond.platform import GatewaySettings
 from briarpond.quarantine import Quarantine
+from briarpond.reachability import LossKind, Reachability
 from briarpond.routes import EngineSpec, GatewayConfiguration, HostedModel, RouteTable
 
 from ._cold_link import ColdLink, cold_limit
 from ._config_origin import ConfigOrigin
+from ._hop_link import HopLink
 from ._kept_bytes import KeptBytes
 from ._metrics import GatewayMetrics
 from ._quarantine_link import QuarantineLink
@@ -98,6 +100,11 @@
     return msgspec.structs.replace(target, service=group.service, size=group.size)
 
 
+def _act_at_once(_server: InstanceId, _kind: LossKind, act: Callable[[], None]) -> None:
+    """Act on a loss on a node that makes no checks."""
+    act()
+
+
 class NodeState:
     """Configuration in force, fleet view, loads and plan of one node.
 
@@ -138,8 +145,16 @@
         What the retry budgets grant and refuse.
     quarantine_link : QuarantineLink
         Prompt parts that end servers, and what is reported of them.
+    hops : HopLink
+        Nodes that pass requests to servers for this one while it is cut off from them.
     evacuated : frozenset of DataCentre
         Data centres whose servers get no requests, by the operator's order.
+    reachability : Reachability
+        Whether this node reaches backend servers.
+    hold_loss : callable
+        Takes a server that this node takes for lost, the kind of what is to be done about it, and
+        a function that does it. The function is called once it is clear that the server has
+        failed and not this node's links, and else never.
     leaving : bool
         Whether the node is about to stop.
     has_served : bool
@@ -183,6 +198,14 @@
             self.metrics, clock, lambda now: len(self.groups(now))
         )
         self.evacuated: frozenset[DataCentre] = frozenset()
+        self.reachability = Reachability()
+        self.hops = HopLink(
+            settings.data_centre,
+            settings.peer_port,
+            self.rng,
+            lambda now: self.reachability.is_cut_off(now),
+        )
+        self.hold_loss: Callable[[InstanceId, LossKind, Callable[[], None]], None] = _act_at_once
         self.leaving = False
         self.has_served = False
         self.plan: Plan | None = None
@@ -443,6 +466,10 @@
         """Send nothing to a server for the next `AVOID_DURATION_S` seconds."""
         self._avoided_until[server] = now + AVOID_DURATION_S
 
+    def forget_avoided(self) -> None:
+        """Use all servers again, because not they but this node's links had failed."""
+        self._avoided_until.clear()
+
     def is_avoided(self, server: InstanceId, now: float) -> bool:
         """Whether nothing is to be sent to a server at present."""
         return now < self._avoided_until.get(server, 0.0)
--- a/briarpond/net/_http_client.py
+++ b/briarpond/net/_http_client.py
@@ -86,6 +86,8 @@
         An answer with another value belongs to an earlier request on the same
         connection and is discarded. One without the header is accepted only on a new
         connection.
+    on_trailers : callable or None
+        Called with the trailers of the answer, if it has any, just before `on_end`.
     """
 
     address: Address
@@ -101,6 +103,7 @@
     reuse_idle: bool = True
     connect_timeout_s: float = 1.0
     echoed_header: tuple[str, str] | None = None
+    on_trailers: Callable[[Headers], None] | None = None
 
 
 class Exchange:
@@ -217,7 +220,7 @@
                     self._on_response_head(event)
                 case h11.EndOfMessage():
                     if not self._discarding:
-                        self._complete()
+                        self._complete(decode_headers(event.headers))
                         return
                     self._await_next_response()
                 case h11.ConnectionClosed():
@@ -261,7 +264,7 @@
         if following_data:
             self._h11.receive_data(following_data)
 
-    def _complete(self) -> None:
+    def _complete(self, trailers: Headers) -> None:
         """End the call; keep the connection only if nothing is left in either direction."""
         self.state = CallState.ENDED
         assert self._conn is not None
@@ -270,6 +273,8 @@
             self._client.keep_idle(self._conn, self._idle_timeout_s)
         else:
             self._conn.close()
+        if trailers and self._call.on_trailers is not None:
+            self._call.on_trailers(trailers)
         self._call.on_end()
 
     def _fail(self, reason: LossReason) -> None:
@@ -322,6 +327,29 @@
         self._client.remove_idle(self._conn)
 
 
+class _ConnectCallbacks:
+    """Keeps a connection that was opened without a call, and tells whether it was established."""
+
+    def __init__(
+        self, client: "HttpClient", idle_timeout_s: float, on_done: Callable[[bool], None]
+    ) -> None:
+        self.conn: Connection | None = None
+        self._client = client
+        self._idle_timeout_s = idle_timeout_s
+        self._on_done = on_done
+
+    def on_open(self) -> None:
+        if self.conn is not None:
+            self._client.keep_idle(self.conn, self._idle_timeout_s)
+        self._on_done(True)
+
+    def on_data(self, data: bytes) -> None:
+        """Do nothing: the connection has other callbacks once it is established."""
+
+    def on_closed(self, established: bool) -> None:
+        self._on_done(False)
+
+
 class HttpClient:
     """Starts HTTP calls and keeps idle connections for later calls.
 
@@ -439,6 +467,29 @@
         exchange = self.start(call)
         return exchange
 
+    def connect(
+        self,
+        address: Address,
+        timeout_s: float,
+        idle_timeout_s: float,
+        on_done: Callable[[bool], None],
+    ) -> None:
+        """Open a new connection without a call, and keep it for later calls.
+
+        Parameters
+        ----------
+        address : Address
+            Server to connect to.
+        timeout_s : float
+            Longest duration of the connect, in seconds.
+        idle_timeout_s : float
+            Seconds for which the connection may be used.
+        on_done : callable
+            Called from the loop with whether the connection was established.
+        """
+        callbacks = _ConnectCallbacks(self, idle_timeout_s, on_done)
+        callbacks.conn = self._connector.open(address, callbacks, timeout_s)
+
     def has_idle(self, address: Address) -> bool:
         """Whether a connection to an address is kept that a call can use again."""
         now = self._clock.now()
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -69,6 +69,20 @@
         assert retries_in_window <= ratio * requests_in_window + slack
 
 
+def test_retry_that_has_reached_no_server_is_granted_again_and_counts_once():
+    budget = SharedRetryBudget(0.0, 2.0, 10.0)
+    share = BudgetShare(1)
+    assert budget.try_acquire(share, 0.0)
+    budget.record_sent(0.5)
+    budget.restore_grant()
+    assert budget.usage(share, 1.0).unsent == 1 and not budget.try_acquire(share, 1.0)
+    budget.record_sent(2.0)
+    assert budget.usage(share, 11.0).retries == 1 and not budget.try_acquire(share, 11.0)
+    budget.restore_grant()
+    budget.release()
+    assert budget.try_acquire(share, 11.5)
+
+
 def test_load_of_other_nodes_counts_until_it_is_replaced():
     tracker = LoadTracker()
     tracker.record_sent("s", 500)
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -159,10 +159,15 @@
     """
 
     def __init__(
-        self, tmp_path: Path, heads=("h1", "h2", "h3"), clock=None, is_new: bool = False
+        self,
+        tmp_path: Path,
+        heads=("h1", "h2", "h3"),
+        clock=None,
+        settings=SETTINGS,
+        is_new: bool = False,
     ) -> None:
         path = tmp_path / "node.yaml"
-        path.write_text(SETTINGS)
+        path.write_text(settings)
         self.clock = VirtualClock() if clock is None else clock
         self.client = ScriptedClient(self.clock)
         self.state = NodeState(load_gateway_settings(path).ok, self.clock, self.client)
