--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -241,7 +241,7 @@
         member.candidate,
         member.gone,
         member.planning,
-        member.cut_off or None,
+        member.cut_off,
     )
 
 
@@ -257,7 +257,7 @@
         wire.candidate,
         wire.gone,
         bool(wire.planning),
-        bool(wire.cut_off),
+        wire.cut_off,
     )
 
 
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -307,8 +307,9 @@
         Whether a relay no longer hears the node. Only this field is set by other nodes.
     planning : bool
         Whether the node plans at present.
-    cut_off : bool
-        Whether the node reaches no backend servers at present, while others may reach them.
+    cut_off : bool or None
+        Whether the node reaches no backend servers at present, while others may reach them. None
+        if it doesn't tell, like one of an earlier release, which takes no requests of others.
     """
 
     node: NodeId
@@ -321,7 +322,7 @@
     candidate: bool = False
     gone: bool = False
     planning: bool = False
-    cut_off: bool = False
+    cut_off: bool | None = False
 
 
 class Pull(msgspec.Struct, frozen=True):
--- a/briarpond/gateway/_hop_choice.py
+++ b/briarpond/gateway/_hop_choice.py
@@ -73,7 +73,7 @@
         if member.ready
         and not member.leaving
         and not member.gone
-        and not member.cut_off
+        and member.cut_off is False
         and member.node not in tried
     ]
 
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -446,3 +446,9 @@
     assert decode_datagram(encode_datagram(notice)).is_ok() is is_read
     record = ConfigRecord(5, 0.5, b"{}", StorePosition(era, 5))
     assert decode_config_record(encode_config_record(record)).is_ok() is is_read
+
+
+@pytest.mark.parametrize("cut_off", [True, False, None])
+def test_node_tells_whether_it_is_cut_off_or_nothing(cut_off):
+    notice = Notice(member("1", cut_off=cut_off))
+    assert decode_datagram(encode_datagram(notice)).ok.sender.cut_off is cut_off
--- a/tests/gateway/test_node_hops.py
+++ b/tests/gateway/test_node_hops.py
@@ -3,11 +3,13 @@
 import msgspec
 import pytest
 
-from briarpond.gateway._hop_choice import MAX_REFUSALS
+from briarpond.directory import Member
+from briarpond.gateway._hop_choice import MAX_REFUSALS, usable_members
 from briarpond.gateway._hop_headers import HOP_HEADERS
 from briarpond.gateway._hop_receiver import peer_limits
 from briarpond.gateway._request_context import choose_helper_for
 from briarpond.gateway._stopping import Stop
+from briarpond.ids import DataCentre, NodeId
 from briarpond.net import Address, HttpServerLimits, LossReason
 from briarpond.net._http_client import IDLE_TIMEOUT_S
 from briarpond.platform import decode_configuration
@@ -91,6 +93,14 @@
     assert not bad.client.sent and len(good.client.sent) == 6
 
 
+# Guards against a caller that gets 404 from a node of an earlier release: it knows no requests of
+# other nodes at its peer port.
+def test_request_is_passed_to_no_node_that_does_not_tell_whether_it_is_cut_off():
+    own = Member(NodeId("a"), 1, 1, Address("10.0.0.1", 8227), DataCentre("x"), True, False)
+    earlier = msgspec.structs.replace(own, node=NodeId("b"), cut_off=None)
+    assert usable_members([own, earlier], ()) == [own]
+
+
 # One hop
 
 
