--- a/briarpond/gateway/_hop_send.py
+++ b/briarpond/gateway/_hop_send.py
@@ -130,6 +130,11 @@
     def record_survival(self, now: float) -> None:
         """Record nothing: the node that has the server does."""
 
+    @property
+    def runs_to_come(self) -> int:
+        """Servers at which the node may yet run the request, as long as it hasn't ended it."""
+        return 0 if self.end is not None else max(0, self._terms.attempts - self.runs)
+
     @property
     def has_reached_no_server(self) -> bool:
         """Whether the node has refused the request before it tried any server."""
--- a/briarpond/gateway/_request_sends.py
+++ b/briarpond/gateway/_request_sends.py
@@ -69,10 +69,15 @@
 
         Once the attempts are used up, only a server that may have run the request is left.
         """
-        if self.possible_runs >= self._context.route.max_attempts:
+        if self._granted_runs >= self._context.route.max_attempts:
             return AllBut(self._unneeded)
         return self._excluded
 
+    @property
+    def _granted_runs(self) -> int:
+        """Possible runs, and those that nodes may yet add which have the request now."""
+        return self.possible_runs + sum(send.runs_to_come for send in self.open)
+
     @property
     def all_sent(self) -> bool:
         """Whether there are sends under way, and all of them count as possible runs."""
@@ -101,7 +106,7 @@
         """Return the counts that decide about another send."""
         return SendProgress(
             self.sent,
-            self.possible_runs,
+            self._granted_runs,
             answer_started,
             self.failed_connects,
             len(self._unneeded),
@@ -134,8 +139,9 @@
     def _make_send(self, choice: ServerChoice, now: float) -> Send:
         if choice.helper is None:
             return Send(self._context, choice, self._callbacks, now)
-        attempts_left = max(1, self._context.route.max_attempts - self.possible_runs)
-        terms = HopTerms(attempts_left, self.is_counted)
+        attempts_left = self._context.route.max_attempts - self._granted_runs
+        # One is kept, in case that the node falls silent or is lost.
+        terms = HopTerms(max(1, attempts_left - 1), self.is_counted)
         self.is_counted = True
         return HopSend(self._context, choice, self._callbacks, terms, now)
 
@@ -169,7 +175,7 @@
         elif failure is SendFailure.NOT_SENT:
             self.failed_connects += 1
         else:
-            self.possible_runs += send.runs - 1
+            self.possible_runs += send.runs + send.runs_to_come - 1
         if failure is not SendFailure.UNKNOWN and send.server in self._ran_at:
             # It is the earlier run of this server that counts, which was not needed.
             self._unneeded.append(send.server)
@@ -205,7 +211,7 @@
     def end(self, send: Send, reason: str, now: float) -> None:
         """End one of several sends that are under way, and say why."""
         send.log_lost(reason, now)
-        self.possible_runs += send.runs - 1
+        self.possible_runs += send.runs + send.runs_to_come - 1
         self._context.state.metrics.sends.inc({"end": reason})
         self.cancel(send)
 
--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -94,8 +94,12 @@
         What is kept of the answer.
     runs : int
         Servers at which the request may have run by this send once a byte of it was sent.
+    runs_to_come : int
+        Servers that may be added to them without a word to this node.
     """
 
+    runs_to_come: int = 0
+
     def __init__(
         self,
         context: RequestContext,
