--- a/briarpond/dispatch/_budget.py
+++ b/briarpond/dispatch/_budget.py
@@ -98,11 +98,11 @@
         """Give back the grant of a retry that is not going to be sent."""
         self._unsent -= 1
 
-    def restore_grant(self) -> None:
-        """Count the last retry that was sent as granted again: it has reached no server."""
-        if self._sent_times:
-            self._sent_times.pop()
-            self._unsent += 1
+    def restore_grant(self, sent_at: float) -> None:
+        """Count a retry as granted again that was sent at a time and has reached no server."""
+        if sent_at in self._sent_times:
+            self._sent_times.remove(sent_at)
+        self._unsent += 1
 
     def usage(self, share: BudgetShare, now: float) -> RetryUsage:
         """Return what is used, and what may be; parameters as in `try_acquire`."""
--- a/briarpond/gateway/_request_context.py
+++ b/briarpond/gateway/_request_context.py
@@ -26,9 +26,12 @@
     ----------
     unsent_since : float or None
         Time of a grant whose send has not begun; None without one.
+    sent_at : float
+        Time at which the last repeat was counted as sent.
     """
 
     unsent_since: float | None = None
+    sent_at: float = float("-inf")
 
 
 class RequestContext(msgspec.Struct, frozen=True):
@@ -180,6 +183,7 @@
         budget = state.retry_budget(self.service)
         granted_at = self.grant.unsent_since
         self.grant.unsent_since = None
+        self.grant.sent_at = now
         budget.record_sent(now, granted_at is not None)
         usage = budget.usage(state.retry_share(now), now)
         held_s = None if granted_at is None else now - granted_at
@@ -194,7 +198,7 @@
     def restore_retry_grant(self, now: float) -> None:
         """Reuse the grant of a repeat that has reached no server; a second one is given back."""
         budget = self.state.retry_budget(self.service)
-        budget.restore_grant()
+        budget.restore_grant(self.grant.sent_at)
         if self.grant.unsent_since is None:
             self.grant.unsent_since = now
         else:
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -74,15 +74,30 @@
     share = BudgetShare(1)
     assert budget.try_acquire(share, 0.0)
     budget.record_sent(0.5)
-    budget.restore_grant()
+    budget.restore_grant(0.5)
     assert budget.usage(share, 1.0).unsent == 1 and not budget.try_acquire(share, 1.0)
     budget.record_sent(2.0)
     assert budget.usage(share, 11.0).retries == 1 and not budget.try_acquire(share, 11.0)
-    budget.restore_grant()
+    budget.restore_grant(2.0)
     budget.release()
     assert budget.try_acquire(share, 11.5)
 
 
+# Guards against a repeat of another request that ceases to count, and a count below zero for good.
+def test_grant_that_is_restored_leaves_the_repeats_of_other_requests():
+    budget = SharedRetryBudget(0.0, 10.0, 10.0)
+    share = BudgetShare(1)
+    for sent_at in (0.0, 9.0):
+        assert budget.try_acquire(share, sent_at)
+        budget.record_sent(sent_at)
+    assert budget.usage(share, 10.5).retries == 1
+    budget.restore_grant(0.0)
+    assert budget.usage(share, 10.5).retries == 2
+    budget.release()
+    assert budget.usage(share, 10.5).retries == 1
+    assert budget.usage(share, 30.0).unsent == budget.usage(share, 30.0).retries == 0
+
+
 def test_load_of_other_nodes_counts_until_it_is_replaced():
     tracker = LoadTracker()
     tracker.record_sent("s", 500)
