--- a/briarpond/gateway/_hop_choice.py
+++ b/briarpond/gateway/_hop_choice.py
@@ -23,10 +23,13 @@
 REFUSED_PAUSE_S = 0.05
 # Why a node that reaches no server takes no request of another one, or gives it back.
 CUT_OFF_REASON = "cut_off"
+# What the answer of a node's HTTP server comes to, which has not handed the request on.
+NOT_TAKEN_REASON = "not_taken"
 # Refusals that say nothing about servers, only about the node, and come at once.
 REASONS_OF_ONE_NODE = frozenset(
     {
         CUT_OFF_REASON,
+        NOT_TAKEN_REASON,
         "checking_links",
         "stopping",
         "not_ready",
--- a/briarpond/gateway/_hop_headers.py
+++ b/briarpond/gateway/_hop_headers.py
@@ -163,6 +163,11 @@
     return ((RUNS, str(runs)),)
 
 
+def is_of_hop(headers: Headers) -> bool:
+    """Whether an answer is one to a request of a node, and not of the HTTP server before it."""
+    return find_header(headers, RUNS) is not None
+
+
 def read_runs(headers: Headers) -> int:
     """Return at how many servers a request may have run, by the answer of a helper; at least 1."""
     return max(1, parse_count(find_header(headers, RUNS), _MAX_ATTEMPTS) or 1)
--- a/briarpond/gateway/_hop_send.py
+++ b/briarpond/gateway/_hop_send.py
@@ -13,8 +13,8 @@
 from briarpond.routes import Route
 
 from ._answer_head import AnswerHead, read_answer_head
-from ._hop_choice import REASONS_OF_ONE_NODE
-from ._hop_headers import Hop, HopEnd, hop_request_headers, read_end, read_runs
+from ._hop_choice import NOT_TAKEN_REASON, REASONS_OF_ONE_NODE
+from ._hop_headers import Hop, HopEnd, hop_request_headers, is_of_hop, read_end, read_runs
 from ._request_context import RequestContext
 from ._request_cost import SendCost
 from ._send import CONNECT_TIMEOUT_S, Send, SendCallbacks
@@ -24,6 +24,9 @@
 # Statuses with which a node says that a request has not run, and that its time is over.
 NOT_RUN_STATUS = 503
 TIME_OVER_STATUS = 504
+# Statuses by which a node's HTTP server refuses what it has not handed on: it is malformed, late,
+# too large, or there is no room for its body.
+HTTP_REFUSAL_STATUSES = frozenset({400, 408, 413, 431, NOT_RUN_STATUS})
 
 
 def limit_attempts(route: Route, attempts: int) -> Route:
@@ -163,6 +166,9 @@
         self.last_progress = self._state.clock.now()
         self.progress.head_received = True
         self.progress.is_framed = head.is_framed
+        if not is_of_hop(headers):
+            self._on_not_taken(status)
+            return
         self.runs = read_runs(headers)
         self.end = read_end(headers)
         if self.end is not None:
@@ -174,6 +180,14 @@
         else:
             self._callbacks.on_failed(self, SendFailure.UNKNOWN, problem)
 
+    def _on_not_taken(self, status: int) -> None:
+        """Handle an answer that isn't one to a request of another node."""
+        self._state.avoid(self.server, self._state.clock.now())
+        self.end = HopEnd(NOT_TAKEN_REASON, 0)
+        is_not_run = status in HTTP_REFUSAL_STATUSES
+        failure = SendFailure.NOT_EXECUTED if is_not_run else SendFailure.UNKNOWN
+        self._callbacks.on_failed(self, failure, f"hop_{NOT_TAKEN_REASON}")
+
     def _on_ended(self, end: HopEnd, head: AnswerHead) -> None:
         """Handle an answer by which the node states that it has none of a server."""
         self.is_time_over = head.status == TIME_OVER_STATUS
--- a/briarpond/gateway/_ingress.py
+++ b/briarpond/gateway/_ingress.py
@@ -10,7 +10,7 @@
 from briarpond.platform import PlatformHeader, bearer_key
 from briarpond.routes import Route, choose_service
 
-from ._hop_headers import Hop, end_headers, is_node_target
+from ._hop_headers import Hop, end_headers, is_node_target, runs_header
 from ._hop_send import NOT_RUN_STATUS
 from ._run import ForwardedRequest
 from ._send import Send
@@ -267,6 +267,8 @@
             state.metrics.requests.inc({"kind": "none", "status": str(refusal.status)})
         elif refusal.status == NOT_RUN_STATUS:
             headers = (*headers, *end_headers(refusal.reason, 0))
+        else:
+            headers = (*headers, *runs_header(0))
         age = self._config_age(state.clock.now())
         origin = state.config_origin()
         log_event(
--- a/tests/gateway/test_node_hops.py
+++ b/tests/gateway/test_node_hops.py
@@ -6,7 +6,7 @@
 from briarpond.directory import Member
 from briarpond.gateway._hop_choice import MAX_REFUSALS, usable_members
 from briarpond.gateway._hop_headers import HOP_HEADERS
-from briarpond.gateway._hop_receiver import peer_limits
+from briarpond.gateway._hop_receiver import answer_hop, peer_limits
 from briarpond.gateway._request_context import choose_helper_for
 from briarpond.gateway._stopping import Stop
 from briarpond.ids import DataCentre, NodeId
@@ -17,6 +17,7 @@
 from briarpond.routes import RouteTable
 
 from ..platform_samples import config_bytes
+from . import hop_world
 from .hop_world import HopWorld, all_passed, all_sent, peer_address
 from .silent_servers import (
     BEGUN_SILENCE_S,
@@ -829,3 +830,32 @@
     all_sent(world)[1].call.on_lost(LossReason.CONNECTION_LOST)
     world.clock.advance(0.01)
     assert blamed == [helper, helper]
+
+
+# Guards against a refusal by a helper's HTTP server that is passed on as a server's answer.
+@pytest.mark.parametrize("status", [400, 408, 413, 431, 503])
+def test_refusal_by_the_http_server_of_a_node_leads_to_another_one(world, monkeypatch, status):
+    bad, good = world.nodes[1:]
+
+    def answer(state, ingress, is_ready, request, reply, hop):
+        if ingress is bad.ingress:
+            reply.send_whole(status, (), b"")
+        else:
+            answer_hop(state, ingress, is_ready, request, reply, hop)
+
+    monkeypatch.setattr(hop_world, "answer_hop", answer)
+    replies = [send_order(world) for _ in range(6)]
+    world.clock.advance(0.2)
+    assert [reply.status for reply in replies] == [None] * 6
+    assert len(good.client.sent) == 6
+
+
+# Guards against a second run of a request that may run once, after an answer that nobody can judge.
+def test_other_answer_of_the_http_server_of_a_node_counts_as_a_run(world, monkeypatch):
+    def answer(state, ingress, is_ready, request, reply, hop):
+        reply.send_whole(500, (), b"")
+
+    monkeypatch.setattr(hop_world, "answer_hop", answer)
+    reply = send_order(world)
+    world.clock.advance(0.2)
+    assert reply.status == 502 and len(all_passed(world)) == 1
