A node is back though the servers of other data centres stay dead

What callers saw: requests at a node that had been cut off were still passed on to other nodes 30 s after its links were sound again, if all servers of one of two data centres were dead and refused at once. Found by a review.

Cause: checks are spread over the data centres, so with one of two dead half of them fail, and `ReturnWatch` wants two answers for each failure.

The rule for most checks (0.3 s, three answers, two of three) stays.

Evidence: test_node_is_back_though_other_data_centres_stay_dead (failed before in 38 of 80 cases: in all where connections are refused at once, unless one of three data centres is dead). test_data_centre_that_answers_by_chance_brings_no_node_back (passed before too) and test_node_is_not_back_at_once_where_only_one_data_centre_answers (passed before too) bound the new rule.

--- a/briarpond/reachability/_reachability.py
+++ b/briarpond/reachability/_reachability.py
@@ -134,9 +134,12 @@
         now : float
             Present time.
         """
+        self._take_answer(None, began_at, now)
+
+    def _take_answer(self, target: CheckTarget | None, began_at: float, now: float) -> None:
         self._reached_from = max(self._reached_from, began_at)
         if self._return is not None:
-            self._return.record_answer(now)
+            self._return.record_answer(target, now)
             self._end_cut_if_back(now)
         elif self._round is not None:
             ends_doubt = self.state() is LinkState.REACHING
@@ -146,12 +149,12 @@
     def record_check(self, check: Check, is_answered: bool, now: float) -> None:
         """Take the result of a check."""
         if is_answered:
-            self.note_connected(check.began_at, now)
+            self._take_answer(check.target, check.began_at, now)
             return
         is_late = now - check.began_at > CHECK_TIMEOUT_S + LATE_S
         if self._return is not None:
             if not is_late:
-                self._return.record_failure()
+                self._return.record_failure(check.target)
         elif self._round is not None:
             record = self._round.discard if is_late else self._round.record_failure
             record(check)
--- a/tests/reachability/test_reachability.py
+++ b/tests/reachability/test_reachability.py
@@ -289,3 +289,48 @@
     links.run(1.0)
     assert links.is_cut_off and links.reachability.checked == 5
     assert links.reachability.elapsed_s < 1.0
+
+
+def cut_links(pool, failure_s, seed=1):
+    links = Links(pool)
+    links.reachability._rng.seed(seed)
+    links.cut(failure_s)
+    links.fail("s0")
+    links.run(2.0)
+    assert links.is_cut_off
+    return links
+
+
+# Guards against a node that stays cut off for as long as the servers of a data centre are dead.
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize(
+    ("data_centres", "dead", "within_s"),
+    [("ab", "b", 1.5), ("abc", "b", 2.0), ("abc", "bc", 3.0), ("abcd", "bcd", 4.0)],
+)
+@pytest.mark.parametrize("failure_s", [0.0, 0.25])
+def test_node_is_back_though_other_data_centres_stay_dead(
+    failure_s, data_centres, dead, within_s, seed
+):
+    links = cut_links(servers(12, data_centres), failure_s, seed)
+    links.answers = lambda target: target.data_centre not in dead
+    links.run(within_s)
+    assert not links.is_cut_off
+
+
+# Guards against a return by chance, when some checks get through a cut that loses packets.
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("failure_s", [0.0, 0.25])
+def test_data_centre_that_answers_by_chance_brings_no_node_back(failure_s, seed):
+    links = cut_links(servers(12, "ab"), failure_s, seed)
+    chance = random.Random(seed)
+    links.answers = lambda target: target.data_centre == "a" and chance.random() < 0.3
+    links.run(10.0)
+    assert links.is_cut_off
+
+
+# Guards against a return after a few answers, before it is known that the others are dead.
+def test_node_is_not_back_at_once_where_only_one_data_centre_answers():
+    links = cut_links(servers(12, "ab"), 0.0)
+    links.answers = lambda target: target.data_centre == "a"
+    links.run(BACK_AFTER_S + 0.2)
+    assert links.is_cut_off
