A pause of the process within a round of checks ends neither the checks nor the doubt

What callers saw: after pauses of the process within a round the node knew no more whether it reached servers: with 5 servers and three pauses no check was begun again, the doubt had no end, and losses were held for ever. With 4 servers and one pause it counted as cut off after two real failures, and passed its requests on. Found by a review.

Cause: `CheckRound.discard` dropped a check that a pause had swallowed, but its server still counted as tried.

Change: the server may be checked again. A round that is undecided, has no check under way and can begin none ends, and a new one begins, so that a doubt doesn't depend on the reason for that.

Evidence, all failed before: test_doubt_ends_after_pauses_within_a_round (4 of 15 cases), test_servers_whose_checks_a_pause_swallowed_are_checked_again_before_a_cut, test_cut_is_found_from_all_servers_after_a_pause, test_round_that_can_begin_no_check_is_followed_by_a_new_one (its state is set by the test: no sequence of results is known that leads to it now). With the new round alone the first three fail.

Result: all pass; tests/reachability, and of tests/gateway test_reach_link, test_planner_cut_off and test_node_hops.

--- a/briarpond/reachability/_reachability.py
+++ b/briarpond/reachability/_reachability.py
@@ -187,7 +187,11 @@
         if self._round.all_failed(pool, now):
             self._begin_cut(self._round, now)
             return []
-        return self._round.next_checks(pool, self._rng, now)
+        checks = self._round.next_checks(pool, self._rng, now)
+        if self._round.is_stuck(now):
+            # It would never be decided; the next step begins a new one.
+            self._round = None
+        return checks
 
     def _begin_cut(self, checks: CheckRound, now: float) -> None:
         self.checked, self.failures = checks.checked, checks.failures
--- a/briarpond/reachability/_round.py
+++ b/briarpond/reachability/_round.py
@@ -62,6 +62,8 @@
             self._tried.clear()
         count = FIRST_CHECKS if is_first else FURTHER_CHECKS
         targets = choose_targets(pool, count, self._left_out(pool), rng)
+        if not targets:
+            return []
         checks = [Check(target, now) for target in targets]
         self._tried |= {target.server for target in targets}
         self._open |= set(checks)
@@ -92,8 +94,13 @@
         """Drop a check that says nothing; another server may be checked instead."""
         if check in self._open:
             self._open.discard(check)
+            self._tried.discard(check.target.server)
             self.checked -= 1
 
+    def is_stuck(self, now: float) -> bool:
+        """Whether no check is under way though one was due; asked after `next_checks`."""
+        return not self._open and now >= self._next_at
+
     def all_failed(self, pool: Sequence[CheckTarget], now: float) -> bool:
         """Whether enough servers were checked, and none of them has answered."""
         if self._open or self.failures == 0:
--- a/tests/reachability/test_reachability.py
+++ b/tests/reachability/test_reachability.py
@@ -334,3 +334,61 @@
     links.answers = lambda target: target.data_centre == "a"
     links.run(BACK_AFTER_S + 0.2)
     assert links.is_cut_off
+
+
+def swallow_checks(links):
+    """Begin checks, and let them fail only after a pause of the process."""
+    checks = links.reachability.next_checks(links.pool, links.now)
+    links.now += 1.0
+    for check in checks:
+        links.reachability.record_check(check, False, links.now)
+    return checks
+
+
+# Guards against a doubt without end, and losses held for ever, after pauses of the process.
+@pytest.mark.parametrize("pauses", [1, 3, 10])
+@pytest.mark.parametrize("count", [1, 2, 3, 5, 63])
+def test_doubt_ends_after_pauses_within_a_round(count, pauses):
+    links = Links(servers(count))
+    links.fail("x")
+    lost_at = links.now
+    assert all(swallow_checks(links) for _ in range(pauses))
+    links.run(1.0)
+    assert links.reachability.state() is LinkState.REACHING
+    assert links.reachability.verdict(lost_at) is Verdict.BELIEVE
+
+
+# Guards against a cut that is found though only two of four servers were really asked.
+def test_servers_whose_checks_a_pause_swallowed_are_checked_again_before_a_cut():
+    links = Links(servers(4))
+    links.fail("x")
+    swallowed = {check.target.server for check in swallow_checks(links)}
+    links.checked.clear()
+    links.answers = lambda target: target.server in swallowed
+    links.run(0.5)
+    assert swallowed & set(links.checked)
+    assert not links.reachability.was_cut_off_since(0.0)
+    assert links.reachability.state() is LinkState.REACHING
+
+
+# Guards against a cut that is missed after a pause.
+def test_cut_is_found_from_all_servers_after_a_pause():
+    links = Links(servers(4))
+    links.cut(0.25)
+    links.fail("x")
+    swallow_checks(links)
+    links.run(0.8)
+    assert links.is_cut_off
+    assert set(links.checked) == {"s0", "s1", "s2", "s3"}
+    assert links.reachability.checked == links.reachability.failures == 4
+
+
+# Guards against a doubt without end, whatever the reason for which a round can begin no check.
+def test_round_that_can_begin_no_check_is_followed_by_a_new_one():
+    links = Links(servers(5))
+    links.fail("x")
+    swallow_checks(links)
+    links.reachability._round._tried |= {target.server for target in links.pool}
+    links.run(0.5)
+    assert links.checked
+    assert links.reachability.state() is LinkState.REACHING
