--- a/tests/reachability/test_reachability.py
+++ b/tests/reachability/test_reachability.py
@@ -289,3 +289,106 @@
     links.run(1.0)
     assert links.is_cut_off and links.reachability.checked == 5
     assert links.reachability.elapsed_s < 1.0
+
+
+def cut_links(pool, failure_s, seed=1):
+    links = Links(pool)
+    links.reachability._rng.seed(seed)
+    links.cut(failure_s)
+    links.fail("s0")
+    links.run(2.0)
+    assert links.is_cut_off
+    return links
+
+
+# Guards against a node that stays cut off for as long as the servers of a data centre are dead.
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize(
+    ("data_centres", "dead", "within_s"),
+    [("ab", "b", 1.5), ("abc", "b", 2.0), ("abc", "bc", 3.0), ("abcd", "bcd", 4.0)],
+)
+@pytest.mark.parametrize("failure_s", [0.0, 0.25])
+def test_node_is_back_though_other_data_centres_stay_dead(
+    failure_s, data_centres, dead, within_s, seed
+):
+    links = cut_links(servers(12, data_centres), failure_s, seed)
+    links.answers = lambda target: target.data_centre not in dead
+    links.run(within_s)
+    assert not links.is_cut_off
+
+
+# Guards against a return by chance, when some checks get through a cut that loses packets.
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("failure_s", [0.0, 0.25])
+def test_data_centre_that_answers_by_chance_brings_no_node_back(failure_s, seed):
+    links = cut_links(servers(12, "ab"), failure_s, seed)
+    chance = random.Random(seed)
+    links.answers = lambda target: target.data_centre == "a" and chance.random() < 0.3
+    links.run(10.0)
+    assert links.is_cut_off
+
+
+# Guards against a return after a few answers, before it is known that the others are dead.
+def test_node_is_not_back_at_once_where_only_one_data_centre_answers():
+    links = cut_links(servers(12, "ab"), 0.0)
+    links.answers = lambda target: target.data_centre == "a"
+    links.run(BACK_AFTER_S + 0.2)
+    assert links.is_cut_off
+
+
+def swallow_checks(links):
+    """Begin checks, and let them fail only after a pause of the process."""
+    checks = links.reachability.next_checks(links.pool, links.now)
+    links.now += 1.0
+    for check in checks:
+        links.reachability.record_check(check, False, links.now)
+    return checks
+
+
+# Guards against a doubt without end, and losses held for ever, after pauses of the process.
+@pytest.mark.parametrize("pauses", [1, 3, 10])
+@pytest.mark.parametrize("count", [1, 2, 3, 5, 63])
+def test_doubt_ends_after_pauses_within_a_round(count, pauses):
+    links = Links(servers(count))
+    links.fail("x")
+    lost_at = links.now
+    assert all(swallow_checks(links) for _ in range(pauses))
+    links.run(1.0)
+    assert links.reachability.state() is LinkState.REACHING
+    assert links.reachability.verdict(lost_at) is Verdict.BELIEVE
+
+
+# Guards against a cut that is found though only two of four servers were really asked.
+def test_servers_whose_checks_a_pause_swallowed_are_checked_again_before_a_cut():
+    links = Links(servers(4))
+    links.fail("x")
+    swallowed = {check.target.server for check in swallow_checks(links)}
+    links.checked.clear()
+    links.answers = lambda target: target.server in swallowed
+    links.run(0.5)
+    assert swallowed & set(links.checked)
+    assert not links.reachability.was_cut_off_since(0.0)
+    assert links.reachability.state() is LinkState.REACHING
+
+
+# Guards against a cut that is missed after a pause.
+def test_cut_is_found_from_all_servers_after_a_pause():
+    links = Links(servers(4))
+    links.cut(0.25)
+    links.fail("x")
+    swallow_checks(links)
+    links.run(0.8)
+    assert links.is_cut_off
+    assert set(links.checked) == {"s0", "s1", "s2", "s3"}
+    assert links.reachability.checked == links.reachability.failures == 4
+
+
+# Guards against a doubt without end, whatever the reason for which a round can begin no check.
+def test_round_that_can_begin_no_check_is_followed_by_a_new_one():
+    links = Links(servers(5))
+    links.fail("x")
+    swallow_checks(links)
+    links.reachability._round._tried |= {target.server for target in links.pool}
+    links.run(0.5)
+    assert links.checked
+    assert links.reachability.state() is LinkState.REACHING
