--- a/briarpond/gateway/_hop_headers.py
+++ b/briarpond/gateway/_hop_headers.py
@@ -19,6 +19,8 @@
 SERVICE = "briarpond-hop-service"
 # Servers at which it may yet run.
 ATTEMPTS = "briarpond-hop-attempts"
+# 1 if the node that passes it on keeps an attempt beside those, otherwise 0.
+KEEPS_ATTEMPT = "briarpond-hop-keeps"
 # 1 if the node that passes it on has counted it for its own retry budget, otherwise 0.
 IS_COUNTED = "briarpond-hop-counted"
 # Of the answer: why there is none of a server. It is also the trailer of a stream that is broken
@@ -28,7 +30,18 @@
 RUNS = "briarpond-hop-runs"
 
 # All of them; a caller or a server that sends one is not believed.
-HOP_HEADERS = frozenset({ORIGIN, CONFIG_VERSION, SERVICE, ATTEMPTS, IS_COUNTED, END_REASON, RUNS})
+HOP_HEADERS = frozenset(
+    {
+        ORIGIN,
+        CONFIG_VERSION,
+        SERVICE,
+        ATTEMPTS,
+        KEEPS_ATTEMPT,
+        IS_COUNTED,
+        END_REASON,
+        RUNS,
+    }
+)
 # Headers of the caller that concern its own connection only, or are replaced.
 _DROPPED_HEADERS = (
     HOP_BY_HOP_HEADERS
@@ -61,6 +74,8 @@
         Servers at which it may yet run.
     is_counted : bool
         Whether the origin has counted it for its own retry budget.
+    keeps_attempt : bool
+        Whether the origin keeps an attempt beside those, so that a request may be given back.
     """
 
     origin: NodeId
@@ -68,6 +83,7 @@
     service: ServiceName
     attempts: int
     is_counted: bool
+    keeps_attempt: bool
 
 
 class HopEnd(msgspec.Struct, frozen=True):
@@ -109,6 +125,7 @@
         ServiceName(_from_bytes_text(request.header(SERVICE) or "")),
         max(1, parse_count(request.header(ATTEMPTS), _MAX_ATTEMPTS) or 1),
         request.header(IS_COUNTED) == "1",
+        request.header(KEEPS_ATTEMPT) == "1",
     )
 
 
@@ -148,6 +165,7 @@
         (CONFIG_VERSION, str(hop.config_version)),
         (SERVICE, _to_bytes_text(hop.service)),
         (ATTEMPTS, str(hop.attempts)),
+        (KEEPS_ATTEMPT, str(int(hop.keeps_attempt))),
         (IS_COUNTED, str(int(hop.is_counted))),
     ]
     return tuple(headers)
--- a/briarpond/gateway/_hop_send.py
+++ b/briarpond/gateway/_hop_send.py
@@ -43,10 +43,13 @@
         Servers at which it may yet run.
     is_counted : bool
         Whether this node has counted it for its own retry budget.
+    keeps_attempt : bool
+        Whether this node keeps an attempt beside those.
     """
 
     attempts: int
     is_counted: bool
+    keeps_attempt: bool
 
 
 class HopSend(Send):
@@ -151,6 +154,7 @@
             self._context.service,
             self._terms.attempts,
             self._terms.is_counted,
+            self._terms.keeps_attempt,
         )
 
     # Answers
--- a/briarpond/gateway/_request_sends.py
+++ b/briarpond/gateway/_request_sends.py
@@ -141,7 +141,7 @@
             return Send(self._context, choice, self._callbacks, now)
         attempts_left = self._context.route.max_attempts - self._granted_runs
         # One is kept, in case that the node falls silent or is lost.
-        terms = HopTerms(max(1, attempts_left - 1), self.is_counted)
+        terms = HopTerms(max(1, attempts_left - 1), self.is_counted, attempts_left > 1)
         self.is_counted = True
         return HopSend(self._context, choice, self._callbacks, terms, now)
 
--- a/briarpond/gateway/_run.py
+++ b/briarpond/gateway/_run.py
@@ -265,7 +265,7 @@
         if self.done or not self._sends.may_hedge_at(now) or self._awaits_verdict(now):
             return
         if self._must_give_back(now) and self.route.repeatable:
-            self._give_back()
+            self._give_back_silent(now)
             return
         if not self._context.may_hedge(self._sends.progress(self._reply.has_begun), now):
             return
@@ -309,6 +309,18 @@
         """Whether the request was passed to this node, which is now cut off from servers itself."""
         return self._context.hop is not None and self._state.reachability.is_cut_off(now)
 
+    def _give_back_silent(self, now: float) -> None:
+        """Give a silent request back if the node that has passed it on can do better.
+
+        Otherwise it stays here: its channel may live on although new ones are refused.
+        """
+        hop, state = self._context.hop, self._state
+        is_last = hop is None or not hop.keeps_attempt
+        if is_last or state.hops.choose((), state.is_avoided, now) is None:
+            self._sends.delay_hedge(now)
+        else:
+            self._give_back()
+
     def _give_back(self) -> None:
         """End a request of another node, which goes on with what is left of its attempts."""
         self._reason = CUT_OFF_REASON
--- a/tests/gateway/test_node_hops.py
+++ b/tests/gateway/test_node_hops.py
@@ -859,3 +859,36 @@
     reply = send_order(world)
     world.clock.advance(0.2)
     assert reply.status == 502 and len(all_passed(world)) == 1
+
+
+# Guards against streams that a helper cuts, though their channels live on and the server goes on
+# after a moment of silence: nobody has an attempt left, or reaches servers.
+@pytest.mark.parametrize("why", ["last_attempt", "all_cut"])
+def test_begun_stream_stays_at_a_helper_that_is_cut_off_if_nobody_can_do_better(world, why):
+    reply = send_stream(world)
+    (sent,) = all_sent(world)
+    begin_answer(sent, 0)
+    world.clock.advance(0.01)
+    if why == "last_attempt":
+        sent.call.on_lost(LossReason.CONNECTION_LOST)
+        world.clock.advance(0.01)
+        (sent,) = [each for each in all_sent(world) if each is not sent]
+        begin_answer(sent, 1)
+        world.clock.advance(0.01)
+        world.cut(all_passed(world)[-1].helper)
+    else:
+        world.cut(*world.nodes)
+    world.clock.advance(0.8)
+    assert not sent.cancelled and not reply.aborted
+    sent.call.on_body(encode_event(2))
+    sent.call.on_end()
+    world.clock.advance(0.05)
+    assert reply.ended and not reply.aborted
+
+
+def test_stream_without_an_event_stays_at_a_helper_if_all_nodes_are_cut_off(world):
+    reply = send_stream(world)
+    (sent,) = all_sent(world)
+    world.cut(*world.nodes)
+    world.clock.advance(1.2)
+    assert not sent.cancelled and not reply.ended
