A node that has left the planning comes back as a new member, and only once its leave has ended

Both may then send orders to servers.

Cause: a node that withdrew joined again under the same name while its call to leave was unanswered. Calls to the store are separate fetches, so the store may handle the leave after the join; it then grants the lease to another node while the returned one still holds by the answer to its join. A late answer to a join from before the withdrawal made the returned holder leave the group while it held the lease.

Change: a node takes the next member name when it withdraws, so no call of before can join, renew or remove the new membership; it counts as a candidate once the store has answered the new one. It applies again when the leave was answered or its call has ended (0.4 s at most). An answer to a call of the former member leads to a leave of that member alone.

The former membership can remain in the store until its lifetime ends (0.9 s at least) if all calls to leave it are lost; nobody plans in its name, as before.

--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -80,13 +80,16 @@
         self._era = 0
         self._store = store
         self._clock = clock
+        self._node = node
         # The start time makes a restarted process a new member, which gets a new term.
-        self._member = f"{node}.{int(clock.now() * 1000)}"
+        self._member_number = int(clock.now() * 1000)
         self.ttl_s = max(ttl_min_s, 3 * RENEW_INTERVAL_S)
         self._renewed_at = float("-inf")
         self._holds = False
         self._stopped = False
-        self._withdrawn_at = float("-inf")
+        # Member that left last, and the time until which an answer to that call is awaited.
+        self._former_member = ""
+        self._leaving_until = float("-inf")
 
     def start(self) -> None:
         """Start to apply, after a delay in which this node learns of others."""
@@ -96,22 +99,42 @@
         """Leave the lease group, and with it give up the lease."""
         self._stopped = True
         self._holds = False
-        self._leave()
+        self._leave(self._member)
 
     def withdraw(self) -> None:
-        """Leave the lease group for now; this node applies again when it should and is prepared."""
+        """Leave the lease group for now; this node applies again when it should and is prepared.
+
+        It waits until this call to the store has ended, and comes back as another member: the
+        store may handle a call that it hasn't answered after later ones.
+        """
         if not self._is_applying:
             return
         self._is_applying = False
         self._has_expired = True
         self._holds = False
-        self._withdrawn_at = self._clock.now()
         log_event("lease_withdrawn", term=self.term)
-        self._leave()
+        self._former_member = self._member
+        self._leaving_until = self._clock.now() + CALL_TIMEOUT_S
+        self._become_new_member()
+        self._leave(self._former_member)
+
+    @property
+    def _member(self) -> str:
+        """Name of this node as a member of the lease group."""
+        return f"{self._node}.{self._member_number}"
 
-    def _leave(self) -> None:
+    def _become_new_member(self) -> None:
+        """Take a name that no call which is still under way can join or remove."""
+        self._member_number += 1
+        self._generation = 0
+        self._renewed_at = float("-inf")
+
+    def _leave(self, member: str) -> None:
         self._store.call(
-            leave_lease_request(self._member), CALL_TIMEOUT_S, self._on_left, self._on_leave_failed
+            leave_lease_request(member),
+            CALL_TIMEOUT_S,
+            lambda status, _body: self._on_left(member, status),
+            lambda reason: self._on_leave_failed(member, reason),
         )
 
     def is_candidate(self, now: float) -> bool:
@@ -141,11 +164,12 @@
         if not self._is_applying:
             return
         requested_at = self._clock.now()
-        request = join_lease_request(self._member, self.ttl_s, self._known_generation())
+        member = self._member
+        request = join_lease_request(member, self.ttl_s, self._known_generation())
         self._store.call(
             request,
             CALL_TIMEOUT_S,
-            lambda status, body: self._on_answer(requested_at, status, body),
+            lambda status, body: self._on_answer(member, requested_at, status, body),
             self._on_no_answer,
         )
 
@@ -167,6 +191,8 @@
         self._is_preparing = wants and self._has_expired
         if not wants or (self._has_expired and not self._is_prepared()):
             return False
+        if self._clock.now() < self._leaving_until:
+            return False
         self._is_preparing = False
         return True
 
@@ -174,15 +200,15 @@
         """Return the last generation of the present era; 0 if none is known."""
         return self._generation if self._era == self._store.era else 0
 
-    def _on_answer(self, requested_at: float, status: int, body: bytes) -> None:
+    def _on_answer(self, member: str, requested_at: float, status: int, body: bytes) -> None:
         answer = decode_lease(body) if status == 200 else None
         if answer is None or answer.is_error():
             return
         if self._stopped:
             return
-        if requested_at <= self._withdrawn_at:
-            # The store may have handled this call after the one by which this node left.
-            self._leave()
+        if member != self._member:
+            # The store may have handled this call after the one by which this member left.
+            self._leave(member)
             return
         self._unanswered_calls = 0
         held_before = self.holds(self._clock.now())
@@ -204,8 +230,15 @@
         if self._holds and self._unanswered_calls == 1:
             log_warning("lease_not_renewed", term=self.term, reason=reason.value)
 
-    def _on_left(self, status: int, _body: bytes) -> None:
+    def _on_left(self, member: str, status: int) -> None:
+        self._end_leave(member)
         log_event("lease_left", status=status)
 
-    def _on_leave_failed(self, reason: LossReason) -> None:
+    def _on_leave_failed(self, member: str, reason: LossReason) -> None:
+        self._end_leave(member)
         log_warning("lease_not_left", reason=reason.value)
+
+    def _end_leave(self, member: str) -> None:
+        """Allow to apply again once the call by which this node left last has ended."""
+        if member == self._former_member:
+            self._leaving_until = float("-inf")
--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -10,7 +10,8 @@
 import msgspec
 import pytest
 
-from briarpond.gateway._lease import RENEW_INTERVAL_S, PlannerLease
+from briarpond.gateway._lease import CALL_TIMEOUT_S, RENEW_INTERVAL_S, PlannerLease
+from briarpond.net import LossReason
 from briarpond.platform import leave_lease_request
 
 from .world import VirtualClock
@@ -31,6 +32,8 @@
         self.joins = 0
         self.left = 0
         self.is_slow = False
+        self.members_left = []
+        self.members_joined = []
         self._unanswered = []
 
     def call(self, request, timeout_s, on_answer, on_lost):
@@ -38,9 +41,12 @@
             return
         if request.target == LEAVE_TARGET:
             self.left += 1
+            self.members_left.append(json.loads(request.body)["member"])
             return
         self.joins += 1
-        self.generations_sent.append(json.loads(request.body)["generation"])
+        body = json.loads(request.body)
+        self.members_joined.append(body["member"])
+        self.generations_sent.append(body["generation"])
         if self.is_slow:
             self._unanswered.append(on_answer)
         else:
@@ -48,7 +54,8 @@
 
     def answer_slow(self):
         """Answer the calls to join that came while the store was slow."""
-        for on_answer in self._unanswered:
+        unanswered, self._unanswered = self._unanswered, []
+        for on_answer in unanswered:
             self._answer(on_answer)
 
     def _answer(self, on_answer):
@@ -183,3 +190,117 @@
     candidate.withdraw()
     candidate.withdraw()
     assert candidate.store.left == 1
+
+
+# Guards against a leave that the store handles after the node has joined again.
+def test_node_does_not_join_while_its_call_to_leave_may_be_answered(candidate):
+    store, clock = candidate.store, candidate.clock
+    candidate.flags["prepared"] = True
+    candidate.withdraw()
+    joins = store.joins
+    clock.advance(CALL_TIMEOUT_S - 0.01)
+    assert store.joins == joins and not candidate.holds(clock.now())
+    clock.advance(2 * RENEW_INTERVAL_S)
+    assert store.joins > joins and candidate.holds(clock.now())
+
+
+# Guards against a late leave of the former membership that removes the member that came back.
+def test_node_comes_back_as_a_member_that_no_earlier_call_names(candidate):
+    store = candidate.store
+    candidate.flags["prepared"] = True
+    for _ in range(3):
+        candidate.withdraw()
+        candidate.clock.advance(1.0)
+        assert candidate.holds(candidate.clock.now())
+        assert store.members_joined[-1] not in store.members_left
+        assert store.generations_sent[-1] == store.term
+    assert len(set(store.members_left)) == 3
+
+
+# Guards against a former member's answer that makes a node a candidate before the store says so.
+def test_node_that_comes_back_is_no_candidate_before_the_store_has_answered(candidate):
+    store, clock = candidate.store, candidate.clock
+    candidate.flags["prepared"] = True
+    candidate.withdraw()
+    store.is_slow = True
+    clock.advance(2 * RENEW_INTERVAL_S)
+    assert store.members_joined[-1] not in store.members_left
+    assert not candidate.is_candidate(clock.now())
+    store.answer_slow()
+    assert candidate.is_candidate(clock.now()) and candidate.holds(clock.now())
+
+
+# Guards against a holder that leaves the group for an answer to a join of before its withdrawal.
+def test_late_answer_to_a_former_join_removes_only_the_former_member(candidate):
+    store, clock = candidate.store, candidate.clock
+    candidate.flags["prepared"] = True
+    store.is_slow = True
+    clock.advance(RENEW_INTERVAL_S)
+    former = store.members_joined[-1]
+    candidate.withdraw()
+    store.is_slow = False
+    clock.advance(2 * RENEW_INTERVAL_S)
+    assert candidate.holds(clock.now())
+    store.answer_slow()
+    assert candidate.holds(clock.now())
+    assert store.members_left == [former, former]
+    assert store.members_joined[-1] != former
+
+
+class LeaseGroup:
+    """A store whose longest member holds the lease, and that handles calls to leave late."""
+
+    era = 0
+
+    def __init__(self, clock, leave_delay_s):
+        self._clock = clock
+        self._leave_delay_s = leave_delay_s
+        self._expires_at = {}
+        self._generation = 0
+
+    def call(self, request, timeout_s, on_answer, on_lost):
+        member = json.loads(request.body)["member"]
+        if request.target != LEAVE_TARGET:
+            self._join(member, on_answer)
+            return
+        is_in_time = self._leave_delay_s < timeout_s
+        answer = (lambda: on_answer(200, b"{}")) if is_in_time else (lambda: None)
+        self._clock.after(self._leave_delay_s, lambda: self._remove(member))
+        self._clock.after(self._leave_delay_s, answer)
+        if not is_in_time:
+            self._clock.after(timeout_s, lambda: on_lost(LossReason.TIMEOUT))
+
+    def _join(self, member, on_answer):
+        now = self._clock.now()
+        for each in [each for each, at in self._expires_at.items() if at <= now]:
+            self._remove(each)
+        if member not in self._expires_at:
+            self._generation += 1
+        self._expires_at[member] = now + 1.0
+        parts = [("planner", 0, 0)] if next(iter(self._expires_at)) == member else []
+        on_answer(200, msgspec.json.encode({"generation": self._generation, "parts": parts}))
+
+    def _remove(self, member):
+        if self._expires_at.pop(member, None) is not None:
+            self._generation += 1
+
+
+# Guards against two holders: the store handled a leave after the same member had joined again.
+@pytest.mark.parametrize("leave_delay_s", [0.02, 0.25, 0.35, 0.45, 0.55, 0.65, 0.75, 0.85, 2.0])
+def test_withdrawal_and_quick_return_lead_to_no_two_holders(leave_delay_s):
+    clock = VirtualClock()
+    store = LeaseGroup(clock, leave_delay_s)
+    leases = []
+    for name in ("n1", "n2"):
+        lease = PlannerLease(store, clock, name, 1.0, lambda: True, lambda: True, lambda: False)
+        lease.start()
+        leases.append(lease)
+        clock.advance(0.13)
+    clock.advance(2.0)
+    assert [lease.holds(clock.now()) for lease in leases] == [True, False]
+    leases[0].withdraw()
+    for _ in range(400):
+        clock.advance(0.01)
+        assert not all(lease.holds(clock.now()) for lease in leases)
+    assert [lease.holds(clock.now()) for lease in leases] == [False, True]
+    assert leases[0].is_candidate(clock.now())
