A planner that is cut off leaves only once another node can take over

What callers see: no plan, and 503 after it has expired, while the store reaches only nodes that are cut off from the servers; found by a review.

Cause: a planner that reached no servers left the lease if any other node did, without asking whether that node reaches the store.

Change: the holder leaves once a node that is not cut off is a live candidate, since a candidate reaches the store. A cut candidate that doesn't hold the lease leaves at once if others reach servers and another candidate is left. Cut nodes apply if no live node is a candidate; other nodes apply as before.

--- a/briarpond/directory/_members.py
+++ b/briarpond/directory/_members.py
@@ -287,9 +287,10 @@
 
         It should if the present candidates, and the nodes that come before this one by
         name, are fewer than `max_candidates`. Nodes that are cut off from the backend servers
-        neither count nor apply, unless all are.
+        neither count nor apply, unless all are, or no live node is a candidate: perhaps the
+        store reaches only nodes that are cut off from the servers.
         """
-        if self.own.cut_off and self.others_reach_servers(now):
+        if self.own.cut_off and self.others_reach_servers(now) and self.candidates(now):
             return False
         staying = [
             member
@@ -304,6 +305,13 @@
         """Whether another live node that stays is not cut off from the backend servers."""
         return any(not each.leaving and not each.cut_off for each in self.live(now))
 
+    def other_may_plan(self, now: float) -> bool:
+        """Whether another live node that stays is a candidate and reaches backend servers.
+
+        A candidate reaches the store, so it can get the lease.
+        """
+        return any(not each.leaving and not each.cut_off for each in self.candidates(now))
+
     def no_node_reaches_store(self, now: float) -> bool:
         """Whether no live node is a candidate, that is, reaches the store and applies.
 
--- a/briarpond/gateway/_handover.py
+++ b/briarpond/gateway/_handover.py
@@ -18,8 +18,9 @@
 class PlanningHandover:
     """Withdraws this node from the planner's lease group while it is cut off.
 
-    It stays if all other nodes are cut off, too: nobody could do better, and their plan remains
-    valid only as long as somebody confirms it.
+    The holder of the lease stays until another node that reaches servers is a candidate, that is,
+    reaches the store, too: otherwise nobody could do better, and the plan remains valid only as
+    long as somebody confirms it.
 
     Parameters
     ----------
@@ -63,9 +64,17 @@
         if not self._is_waiting:
             return
         self._clock.after(HANDOVER_CHECK_INTERVAL_S, self._withdraw_if_useful)
-        others_reach = self._peers.sync.members.others_reach_servers(now)
-        if others_reach and self._lease.is_candidate(now):
+        if self._should_withdraw(now):
             log_event("planning_handed_over", planning=self._planner.planning)
             self._lease.withdraw()
             self._planner.step()
             self._peers.announce()
+
+    def _should_withdraw(self, now: float) -> bool:
+        """Whether the planning goes on without this node as a candidate."""
+        if not self._lease.is_candidate(now):
+            return False
+        members = self._peers.sync.members
+        if self._lease.holds(now):
+            return members.other_may_plan(now)
+        return members.others_reach_servers(now) and bool(members.candidates(now))
--- a/tests/directory/test_directory.py
+++ b/tests/directory/test_directory.py
@@ -166,6 +166,36 @@
     assert not table_with(member("4", cut_off=True), *others).should_apply(2, 10.1)
 
 
+# Guards against a planner that leaves to nodes that do not reach the store.
+def test_only_a_candidate_that_reaches_servers_and_stays_may_plan_instead():
+    cut = member("1", candidate=True, cut_off=True)
+    leaving = member("4", candidate=True, leaving=True)
+    others = [cut, member("2"), member("3"), leaving]
+    assert table_with(member("9", cut_off=True), *others).others_reach_servers(10.1)
+    assert not table_with(member("9", cut_off=True), *others).other_may_plan(10.1)
+    able = member("5", candidate=True)
+    assert table_with(member("9", cut_off=True), *others, able).other_may_plan(10.1)
+
+
+# Guards against a plan that ends because the store reaches only nodes that may not apply.
+def test_node_that_is_cut_off_applies_if_no_live_node_is_a_candidate():
+    others = [member("1"), member("2"), member("3", cut_off=True)]
+    assert table_with(member("9", cut_off=True), *others[:2]).should_apply(3, 10.1)
+    assert not table_with(member("9", cut_off=True), *others).should_apply(3, 10.1)
+    candidate = member("4", candidate=True)
+    assert not table_with(member("9", cut_off=True), *others[:2], candidate).should_apply(3, 10.1)
+
+
+# Guards against cut candidates that keep the places of nodes that could take over from them.
+def test_next_nodes_apply_though_all_candidates_are_cut_off():
+    cut = [member(name, candidate=True, cut_off=True) for name in "123"]
+    for name in "456":
+        others = [member(each) for each in "456789" if each != name]
+        assert table_with(member(name), *cut, *others).should_apply(3, 10.1)
+    others = [member(each) for each in "45689"]
+    assert not table_with(member("7"), *cut, *others).should_apply(3, 10.1)
+
+
 def test_store_counts_as_unreachable_only_if_no_live_node_is_a_candidate():
     """Guards against two planners at a time.
 
--- a/tests/gateway/test_planner_cut_off.py
+++ b/tests/gateway/test_planner_cut_off.py
@@ -24,6 +24,7 @@
 
     def __init__(self):
         self.reach_servers = True
+        self.other_is_candidate = True
 
     def planning_ended_at(self, node):
         return None
@@ -34,6 +35,12 @@
     def others_reach_servers(self, now):
         return self.reach_servers
 
+    def other_may_plan(self, now):
+        return self.reach_servers and self.other_is_candidate
+
+    def candidates(self, now):
+        return ["another"] if self.other_is_candidate else []
+
 
 class Lease:
     """A lease that is held until this node withdraws."""
@@ -42,9 +49,10 @@
         self.term = 7
         self.held_since = now
         self.is_withdrawn = False
+        self.is_granted = True
 
     def holds(self, now):
-        return not self.is_withdrawn
+        return self.is_granted and not self.is_withdrawn
 
     def is_candidate(self, now):
         return not self.is_withdrawn
@@ -165,6 +173,39 @@
     assert node.lease.is_withdrawn and not node.planner.planning
 
 
+# Guards against a plan that ends for all nodes: the store reached only the planner that left.
+def test_planner_keeps_the_lease_until_a_node_that_reaches_servers_is_a_candidate(node):
+    node.members.other_is_candidate = False
+    node.client.begin(Cut.HANG)
+    node.report_all_stalled()
+    node.clock.advance(4.0)
+    assert node.is_cut_off and not node.lease.is_withdrawn and node.planner.planning
+    assert node.state.plan_age(node.clock.now()) <= 0.1
+    node.members.other_is_candidate = True
+    node.clock.advance(0.2)
+    assert node.lease.is_withdrawn and not node.planner.planning
+
+
+# Guards against a lease that moves to another node that is cut off when the planner leaves.
+def test_candidate_without_the_lease_leaves_though_the_other_candidates_are_cut_off(node):
+    node.lease.is_granted = False
+    node.members.other_may_plan = lambda now: False
+    node.client.begin(Cut.HANG)
+    node.report_all_stalled()
+    node.clock.advance(1.0 + HANDOVER_DELAY_S)
+    assert node.is_cut_off and node.lease.is_withdrawn
+
+
+# Guards against a store that reaches only nodes which are cut off, and has no candidate left.
+def test_last_candidate_stays_though_it_does_not_hold_the_lease(node):
+    node.lease.is_granted = False
+    node.members.other_is_candidate = False
+    node.client.begin(Cut.HANG)
+    node.report_all_stalled()
+    node.clock.advance(4.0)
+    assert node.is_cut_off and not node.lease.is_withdrawn
+
+
 def test_planner_that_was_cut_off_for_a_moment_keeps_the_lease(node):
     node.client.begin(Cut.REFUSE)
     node.report_all_stalled()
