Test of known cuts has the candidates for the lease among the cut nodes

Since a node that is cut off applies if no live node is a candidate at all, and the model had none. That is the state in which nobody can plan, and not the one that the test is about.

The cut nodes that come first by name are the candidates now, as when a planner is cut off. What is asserted is unchanged: all know the cut nodes in time, and exactly three others apply.

--- a/tests/directory/test_convergence.py
+++ b/tests/directory/test_convergence.py
@@ -199,7 +199,7 @@
         if node in first_by_name or (whole_zone and node.data_centre == zone)
     ]
     for node in cut:
-        node.sync.members.update_own(cut_off=True)
+        node.sync.members.update_own(cut_off=True, candidate=node in first_by_name)
         node.send(node.sync.announce(world.now))
     names = {node.name for node in cut}
 
