A send to a node is made by the same code as one to a server

HopSend had copies of start and finish. Send now makes its call, its headers and its place in the load in methods of their own, of which HopSend replaces only what differs. No change of behaviour.

--- a/briarpond/gateway/_hop_send.py
+++ b/briarpond/gateway/_hop_send.py
@@ -16,8 +16,7 @@
 from ._hop_choice import NOT_TAKEN_REASON, REASONS_OF_ONE_NODE
 from ._hop_headers import Hop, HopEnd, hop_request_headers, is_of_hop, read_end, read_runs
 from ._request_context import RequestContext
-from ._request_cost import SendCost
-from ._send import CONNECT_TIMEOUT_S, Send, SendCallbacks
+from ._send import Send, SendCallbacks
 from ._send_state import SendPhase
 from ._targets import ServerChoice
 
@@ -91,43 +90,22 @@
         self._node: NodeId = choice.helper
         self._terms = terms
 
-    def start(self, last_event_id: bytes | None) -> None:
-        """Connect to the node and pass the request on.
-
-        Parameters
-        ----------
-        last_event_id : bytes or None
-            Event after which a stream is resumed; None to pass the caller's own on.
-        """
-        caller = self._caller
-        now = self.progress.began_at
-        guard = self._callbacks.guard
-        self._cost = SendCost(self._context.cost, last_event_id is not None)
-        self._state.hops.record_begin(self._node)
-        call = HttpCall(
-            self._address,
-            caller.http.method,
-            caller.http.target,
-            hop_request_headers(caller, self._describe(), last_event_id, now),
-            caller.http.body,
-            partial(guard, self._on_head),
-            partial(guard, self._on_body),
-            partial(guard, self._on_end),
-            partial(guard, self._on_lost),
-            self._on_sent,
+    def _make_call(self, last_event_id: bytes | None, now: float) -> HttpCall:
+        return msgspec.structs.replace(
+            super()._make_call(last_event_id, now),
             reuse_idle=self._context.route.repeatable,
-            connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, caller.expires_at - now)),
-            on_trailers=partial(guard, self._on_trailers),
+            echoed_header=None,
+            on_trailers=partial(self._callbacks.guard, self._on_trailers),
         )
-        self._exchange = self._state.client.start(call)
 
-    def finish(self) -> None:
-        """Remove the send from the load of its node, and drop what is kept of the answer."""
-        if not self.is_open:
-            return
-        self._mark_first_event()
-        self.is_open = False
-        self.buffer.clear()
+    def _request_headers(self, last_event_id: bytes | None, now: float) -> Headers:
+        return hop_request_headers(self._caller, self._describe(), last_event_id, now)
+
+    def _enter_load(self) -> None:
+        """Count the send in the load of its node."""
+        self._state.hops.record_begin(self._node)
+
+    def _leave_load(self) -> None:
         self._state.hops.record_end(self._node)
 
     def record_crash(self, now: float) -> None:
--- a/briarpond/gateway/_send.py
+++ b/briarpond/gateway/_send.py
@@ -141,23 +141,19 @@
         last_event_id : bytes or None
             Event after which a stream is resumed; None to pass the caller's own on.
         """
+        self._cost = SendCost(self._context.cost, last_event_id is not None)
+        self._enter_load()
+        call = self._make_call(last_event_id, self.progress.began_at)
+        self._exchange = self._state.client.start(call)
+
+    def _make_call(self, last_event_id: bytes | None, now: float) -> HttpCall:
         caller = self._caller
-        now = self.progress.began_at
         guard = self._callbacks.guard
-        self._cost = SendCost(self._context.cost, last_event_id is not None)
-        self._state.load_tracker.record_sent(self.server, self._prompt_tokens, self._cost.unwritten)
-        call = HttpCall(
+        return HttpCall(
             self._address,
             caller.http.method,
             caller.http.target,
-            forwarded_headers(
-                caller,
-                self.server,
-                self._context.tenant,
-                last_event_id,
-                now,
-                self._context.server_priority,
-            ),
+            self._request_headers(last_event_id, now),
             caller.http.body,
             partial(guard, self._on_head),
             partial(guard, self._on_body),
@@ -169,9 +165,16 @@
             connect_timeout_s=min(CONNECT_TIMEOUT_S, max(0.01, caller.expires_at - now)),
             echoed_header=(None if caller.id is None else (PlatformHeader.REQUEST_ID, caller.id)),
         )
-        self._state.cold_link.sends.reserve(self.server)
-        self._is_reserved = True
-        self._exchange = self._state.client.start(call)
+
+    def _request_headers(self, last_event_id: bytes | None, now: float) -> Headers:
+        return forwarded_headers(
+            self._caller,
+            self.server,
+            self._context.tenant,
+            last_event_id,
+            now,
+            self._context.server_priority,
+        )
 
     def cancel(self) -> None:
         """End the send; its connection is closed, and the rest of its answer is discarded."""
@@ -186,6 +189,15 @@
         self._mark_first_event()
         self.is_open = False
         self.buffer.clear()
+        self._leave_load()
+
+    def _enter_load(self) -> None:
+        """Count the send in the load of its server."""
+        self._state.load_tracker.record_sent(self.server, self._prompt_tokens, self._cost.unwritten)
+        self._state.cold_link.sends.reserve(self.server)
+        self._is_reserved = True
+
+    def _leave_load(self) -> None:
         if self._is_reserved:
             self._is_reserved = False
             self._state.cold_link.sends.release(self.server)
