--- a/briarpond/gateway/_config_exchange.py
+++ b/briarpond/gateway/_config_exchange.py
@@ -82,7 +82,7 @@
         self._position: StorePosition | None = None
         self._evacuated: frozenset[DataCentre] = frozenset()
         self._wanted_version = 0
-        self._wanted_position = StorePosition()
+        self._wanted_position = UNKNOWN_POSITION
         self._wanted_since = float("-inf")
 
     def set_record(self, offset: int, value: bytes) -> None:
--- a/briarpond/gateway/_config_keeper.py
+++ b/briarpond/gateway/_config_keeper.py
@@ -115,8 +115,7 @@
 
     def origin(self) -> ConfigOrigin:
         """Return where the records in force come from."""
-        position = self._position
-        return ConfigOrigin(position.era, position.offset, self._feed.confirmed_by)
+        return ConfigOrigin(self._position, self._feed.confirmed_by)
 
     def status(self, now: float) -> ConfigStatus | None:
         """Return version, age and position of the operator's records; None without a version."""
--- a/briarpond/gateway/_config_origin.py
+++ b/briarpond/gateway/_config_origin.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from briarpond.directory import StorePosition
+
 # Stands for the store as the source of a confirmation; other sources are hosts of nodes.
 STORE_SOURCE = "store"
 
@@ -11,15 +13,12 @@
 
     Attributes
     ----------
-    era : int
-        Era of the store that the position belongs to; 0 if it is not known.
-    position : int
-        Offset up to which the operator's records are applied; 0 if it is not known.
+    position : StorePosition
+        Position up to which the operator's records are applied; the first one if it is not known.
     confirmed_by : str
         Who last confirmed that they are the newest: `STORE_SOURCE` or the host of another node;
         empty if nobody has.
     """
 
-    era: int = 0
-    position: int = 0
+    position: StorePosition = StorePosition()
     confirmed_by: str = ""
--- a/briarpond/gateway/_ingress.py
+++ b/briarpond/gateway/_ingress.py
@@ -279,8 +279,8 @@
             reason=refusal.reason,
             config=state.config.version if state.config else 0,
             config_age_ms=-1 if age is None else int(age * 1000),
-            config_era=origin.era,
-            config_position=origin.position,
+            config_era=origin.position.era,
+            config_position=origin.position.offset,
             confirmed_by=origin.confirmed_by or "-",
             origin="-" if hop is None else hop.origin,
         )
