--- a/briarpond/directory/_members.py
+++ b/briarpond/directory/_members.py
@@ -303,14 +303,14 @@
 
     def others_reach_servers(self, now: float) -> bool:
         """Whether another live node that stays is not cut off from the backend servers."""
-        return any(not each.leaving and not each.cut_off for each in self.live(now))
+        return any(map(_stays_and_reaches_servers, self.live(now)))
 
     def other_may_plan(self, now: float) -> bool:
         """Whether another live node that stays is a candidate and reaches backend servers.
 
         A candidate reaches the store, so it can get the lease.
         """
-        return any(not each.leaving and not each.cut_off for each in self.candidates(now))
+        return any(map(_stays_and_reaches_servers, self.candidates(now)))
 
     def no_node_reaches_store(self, now: float) -> bool:
         """Whether no live node is a candidate, that is, reaches the store and applies.
@@ -415,3 +415,7 @@
 def hosts_of(members: Iterable[Member]) -> list[str]:
     """Return the hosts of members."""
     return [member.caller_address.host for member in members]
+
+
+def _stays_and_reaches_servers(member: Member) -> bool:
+    return not member.leaving and not member.cut_off
