Nodes tell the version of the exchange that they know; whole descriptions replace those of older relays

What callers see, during and after an upgrade from 0.7: a node that is cut off from the servers passes their requests to fewer nodes than it could, or to none.

Cause: a node of 0.7 passes descriptions on without the fields that it lacks. Where such a description came first, the whole one was not taken: its numbers are the same. It stayed so after the last node of 0.7 was gone, until something in the description changed. A node that doesn't tell whether it is cut off gets no requests.

--- a/briarpond/directory/__init__.py
+++ b/briarpond/directory/__init__.py
@@ -34,8 +34,10 @@
 from ._plan_log import PlanLog
 from ._sync import Outgoing, PeerSync, SyncCallbacks
 from ._timing import HOUSEKEEPING_INTERVAL_S, LOAD_LIFETIME_S, PAUSE_S, RELAY_INTERVAL_S
+from ._version import CURRENT_VERSION, ExchangeVersion
 
 __all__ = [
+    "CURRENT_VERSION",
     "HOUSEKEEPING_INTERVAL_S",
     "LOAD_LIFETIME_S",
     "MAX_DATAGRAM_BYTES",
@@ -47,6 +49,7 @@
     "ConfigRecord",
     "ConfigStatus",
     "Datagram",
+    "ExchangeVersion",
     "GroupTarget",
     "Load",
     "Member",
--- a/briarpond/directory/_codec.py
+++ b/briarpond/directory/_codec.py
@@ -29,6 +29,7 @@
     ServerInFlight,
     StorePosition,
 )
+from ._version import version_from_wire
 from .gen.exchange import ttypes
 
 Datagram = Pull | Answer | Notice
@@ -242,6 +243,7 @@
         member.gone,
         member.planning,
         member.cut_off,
+        member.exchange_version,
     )
 
 
@@ -258,6 +260,7 @@
         wire.gone,
         bool(wire.planning),
         wire.cut_off,
+        version_from_wire(wire.exchange_version, wire.cut_off),
     )
 
 
--- a/briarpond/directory/_members.py
+++ b/briarpond/directory/_members.py
@@ -90,7 +90,9 @@
     def merge(self, member: Member, now: float) -> bool:
         """Take over a description unless a newer one is known; return whether it was new.
 
-        Of two descriptions with the same numbers, one that is marked as gone is the newer.
+        Of two descriptions with the same numbers, one that is marked as gone is the newer. Of two
+        that agree in this too, the one with the higher version is: nodes of earlier releases pass
+        descriptions on without the fields that they don't know.
         """
         if member.node == self.own.node:
             self._refute(member)
@@ -177,6 +179,14 @@
         }
         return frozenset(nodes | {self.own.node})
 
+    def lowest_version(self) -> int:
+        """Return the lowest version of the exchange among all known nodes, this one included.
+
+        Nodes that are gone count until they are dropped, since they may come back.
+        """
+        members = [self.own, *(entry.member for entry in self._entries.values())]
+        return min(member.exchange_version for member in members)
+
     def count_nodes(self, now: float) -> int:
         """Return the number of nodes that count as alive, this one included."""
         return 1 + len(self.live(now))
@@ -408,8 +418,8 @@
         self._relays_cache.clear()
 
 
-def _order(member: Member) -> tuple[int, int, bool]:
-    return member.incarnation, member.revision, member.gone
+def _order(member: Member) -> tuple[int, int, bool, int]:
+    return member.incarnation, member.revision, member.gone, member.exchange_version
 
 
 def hosts_of(members: Iterable[Member]) -> list[str]:
--- a/briarpond/directory/_models.py
+++ b/briarpond/directory/_models.py
@@ -10,6 +10,8 @@
 from briarpond.quarantine import Evidence
 from briarpond.routes import ModelName
 
+from ._version import CURRENT_VERSION
+
 # Largest era of the store: numbers that begin with an era, like epochs of groups, fit into 63 bits.
 MAX_STORE_ERA = 800_000
 
@@ -310,6 +312,8 @@
     cut_off : bool or None
         Whether the node reaches no backend servers at present, while others may reach them. None
         if it doesn't tell, like one of an earlier release, which takes no requests of others.
+    exchange_version : int
+        Version of the exchange that the node knows, see `ExchangeVersion`.
     """
 
     node: NodeId
@@ -323,6 +327,7 @@
     gone: bool = False
     planning: bool = False
     cut_off: bool | None = False
+    exchange_version: int = CURRENT_VERSION
 
 
 class Pull(msgspec.Struct, frozen=True):
--- a/briarpond/directory/exchange.thrift
+++ b/briarpond/directory/exchange.thrift
@@ -97,7 +97,8 @@
   9: required bool candidate,
   10: required bool gone,
   11: optional bool planning,
-  12: optional bool cut_off
+  12: optional bool cut_off,
+  13: optional i32 exchange_version
 }
 
 /** How long ago a relay of a data centre vouched for its nodes. */
--- a/briarpond/directory/gen/exchange/ttypes.py
+++ b/briarpond/directory/gen/exchange/ttypes.py
@@ -975,11 +975,12 @@
      - gone
      - planning
      - cut_off
+     - exchange_version
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, revision=None, host=None, port=None, data_centre=None, ready=None, leaving=None, candidate=None, gone=None, planning=None, cut_off=None,):
+    def __init__(self, node=None, incarnation=None, revision=None, host=None, port=None, data_centre=None, ready=None, leaving=None, candidate=None, gone=None, planning=None, cut_off=None, exchange_version=None,):
         self.node = node
         self.incarnation = incarnation
         self.revision = revision
@@ -992,6 +993,7 @@
         self.gone = gone
         self.planning = planning
         self.cut_off = cut_off
+        self.exchange_version = exchange_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1062,6 +1064,11 @@
                     self.cut_off = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.exchange_version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1120,6 +1127,10 @@
             oprot.writeFieldBegin('cut_off', TType.BOOL, 12)
             oprot.writeBool(self.cut_off)
             oprot.writeFieldEnd()
+        if self.exchange_version is not None:
+            oprot.writeFieldBegin('exchange_version', TType.I32, 13)
+            oprot.writeI32(self.exchange_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2473,6 +2484,7 @@
     (10, TType.BOOL, 'gone', None, None, ),  # 10
     (11, TType.BOOL, 'planning', None, None, ),  # 11
     (12, TType.BOOL, 'cut_off', None, None, ),  # 12
+    (13, TType.I32, 'exchange_version', None, None, ),  # 13
 )
 all_structs.append(DataCentreAge)
 DataCentreAge.thrift_spec = (
