Terms of the lease have no era as long as they are unused, so that a node of 0.7 can plan

What callers see beside a store that tells eras: after a way back to 0.7 a model that loses its groups is refused for good (503 no_group); during an upgrade, while a node of 0.7 holds the lease after one of 0.8, other nodes ignore its plan and servers refuse its orders.

Cause: 0.8 made terms of the era and the generation, 10,000,009 instead of 9. Epochs are made from terms, servers refuse a join with an epoch below one that they have seen, and nodes ignore plans of lower terms.

Change: a term is the plain generation while that is higher than all terms in use, by the newest plan and by the epochs in the list of servers. Otherwise it has the era, and always on a node that has seen the store come back, unless nodes without eras are known.

--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -7,7 +7,7 @@
 from briarpond.net import Clock, LossReason
 from briarpond.platform import decode_lease, join_lease_request, leave_lease_request
 
-from ._lease_term import lease_term
+from ._lease_term import lease_term, lowest_unused_term
 from ._store_client import StoreClient
 
 # How often a candidate renews its membership of the lease group.
@@ -44,12 +44,16 @@
         comes back only then, since the lease may move to it at that moment.
     is_superseded : callable
         Returns whether another node has planned under a later term.
+    highest_used_term : callable
+        Returns the highest term known to be in use; None if terms must have the store's era.
 
     Attributes
     ----------
     term : int
-        Highest term of the lease that follows from the store's answers; it rises with each
-        change of the lease group's members and with each era of the store.
+        Term of the lease that follows from the store's answers; it rises with each change of the
+        lease group's members and with each era of the store.
+    era : int
+        Era of the store that granted the lease, or dealt it to another member.
     held_since : float
         Time at which this node last became the holder; infinite if it never did.
     ttl_s : float
@@ -65,19 +69,25 @@
         should_apply: Callable[[], bool],
         is_prepared: Callable[[], bool],
         is_superseded: Callable[[], bool],
+        highest_used_term: Callable[[], int | None] = lambda: None,
     ) -> None:
         self.term = 0
+        self.era = 0
         self.held_since = float("inf")
         self._should_apply = should_apply
         self._is_prepared = is_prepared
         self._is_superseded = is_superseded
+        self._highest_used_term = highest_used_term
+        # Highest generation that the store has named in the era, which the term is made from, and
+        # whether the term is that generation.
+        self._term_generation = 0
+        self._has_plain_term = False
         self._is_applying = False
         self._has_expired = False
         self._is_preparing = False
         self._unanswered_calls = 0
-        # Last generation that the store reported, and the era that it belongs to.
+        # Last generation that the store reported to the present member.
         self._generation = 0
-        self._era = 0
         self._store = store
         self._clock = clock
         self._node = node
@@ -198,7 +208,7 @@
 
     def _known_generation(self) -> int:
         """Return the last generation of the present era; 0 if none is known."""
-        return self._generation if self._era == self._store.era else 0
+        return self._generation if self.era == self._store.era else 0
 
     def _on_answer(self, member: str, requested_at: float, status: int, body: bytes) -> None:
         answer = decode_lease(body) if status == 200 else None
@@ -212,19 +222,43 @@
             return
         self._unanswered_calls = 0
         held_before = self.holds(self._clock.now())
-        self._era = self._store.era
         self._generation = answer.ok.generation
-        term = lease_term(self._era, self._generation)
-        if term != self.term:
-            log_event("lease_term", term=term, parts=answer.ok.partition_count, known=self.term)
-        self.term = max(self.term, term)
         self._holds = answer.ok.holds_lease
+        known_term = self.term
+        self._update_term(self._store.era, answer.ok.generation)
+        if self.term != known_term:
+            parts = answer.ok.partition_count
+            log_event("lease_term", term=self.term, parts=parts, known=known_term)
         self._renewed_at = requested_at
         if self._holds and not held_before:
             self.held_since = self._clock.now()
         if held_before != self._holds:
             log_event("lease", holds=self._holds, term=self.term)
 
+    def _update_term(self, era: int, generation: int) -> None:
+        """Set the term that belongs to the newest of the store's answers."""
+        if era != self.era or generation > self._term_generation:
+            self.era, self._term_generation = era, generation
+            self._has_plain_term = False
+        self.refresh_term()
+
+    def refresh_term(self) -> None:
+        """Set the term anew by what is known now of the terms in use.
+
+        While another member holds the lease the term is the plain generation and isn't used.
+        """
+        generation = self._term_generation
+        if not self._holds:
+            self.term = generation
+            return
+        highest_used = self._highest_used_term()
+        if highest_used is None:
+            self.term = lease_term(self.era, generation)
+        else:
+            is_own = self._has_plain_term
+            self.term = lowest_unused_term(self.era, generation, highest_used, is_own)
+        self._has_plain_term = self.term == generation
+
     def _on_no_answer(self, reason: LossReason) -> None:
         self._unanswered_calls += 1
         if self._holds and self._unanswered_calls == 1:
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from briarpond.directory import (
+    ExchangeVersion,
     Load,
     Member,
     Plan,
@@ -26,6 +27,7 @@
     TcpListener,
     run_guarded,
 )
+from briarpond.placement import term_of_epoch
 from briarpond.platform import (
     INSTANCES_TOPIC,
     GatewaySettings,
@@ -178,6 +180,7 @@
             self._should_apply,
             self._is_prepared_to_plan,
             self._is_superseded,
+            self._highest_used_term,
         )
         self._planner = PlannerRunner(
             self.state, self._lease, self._peers, lambda: self._instances_feed.known_until
@@ -423,6 +426,20 @@
         plan = self.state.plan
         return plan is not None and plan.term > self._lease.term
 
+    def _highest_used_term(self) -> int | None:
+        """Return the highest term known to be in use; None if terms must have the store's era.
+
+        After a restoration they must: a term that nobody knows any more may have been used. But
+        nodes of releases that know no eras couldn't plan after such a term.
+        """
+        lowest_version = self._peers.sync.members.lowest_version()
+        if self._store.was_restored and lowest_version >= ExchangeVersion.STORE_ERAS:
+            return None
+        plan = self.state.plan
+        instances = self.state.fleet.all_instances()
+        epochs = [each.membership.epoch for each in instances if each.membership is not None]
+        return max(0 if plan is None else plan.term, term_of_epoch(max(epochs, default=0)))
+
     def _plan_status(self, now: float) -> PlanStatus | None:
         state = self.state
         if self._planner.publishes(now):
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -201,6 +201,8 @@
 
     def _may_take_over(self, now: float) -> bool:
         """Whether the previous planner has certainly stopped and its groups are listed here."""
+        # The list may have shown since the last renewal which terms are in use.
+        self._lease.refresh_term()
         if not self._state.fleet.is_complete(now):
             # Groups that were opened during an outage may not be listed yet.
             return False
@@ -228,9 +230,12 @@
         return lease_since + TAKE_OVER_DELAY_IF_SILENT_S
 
     def _plan_is_of_former_era(self) -> bool:
-        """Whether the store has come back from a copy since the newest known plan."""
+        """Whether the store may have come back from a copy since the newest known plan.
+
+        The plan of a node without eras doesn't say that it hasn't.
+        """
         plan = self._state.plan
-        return plan is not None and era_of_term(plan.term) < era_of_term(self._lease.term)
+        return plan is not None and era_of_term(plan.term) < self._lease.era
 
     @property
     def taking_over(self) -> bool:
--- a/briarpond/gateway/_store_client.py
+++ b/briarpond/gateway/_store_client.py
@@ -29,6 +29,8 @@
     era : int
         Latest era that an answer has named; 0 if none did. The store begins a new one when it
         comes back from a copy; offsets and generations of two eras can't be compared.
+    was_restored : bool
+        Whether the store has come back from a copy since this process first heard of it.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         self._client = client
         self.calls = 0
         self.era = 0
+        self.was_restored = False
         self._on_restored = on_restored
 
     def call(
@@ -91,4 +94,5 @@
             is_first = self.era == 0
             self.era = era
             if not is_first:
+                self.was_restored = True
                 run_guarded("store_restored", self._on_restored)
--- a/briarpond/placement/__init__.py
+++ b/briarpond/placement/__init__.py
@@ -5,6 +5,7 @@
 groups by records in the log instead; see `briarpond.groups`.
 """
 
+from ._formation import term_of_epoch
 from ._layout import initial_layout
 from ._loads import LoadBudget
 from ._models import GroupStage, Order, OrderKind, PlannedGroup
@@ -18,4 +19,5 @@
     "Planner",
     "GroupStage",
     "initial_layout",
+    "term_of_epoch",
 ]
--- a/briarpond/placement/_formation.py
+++ b/briarpond/placement/_formation.py
@@ -33,6 +33,11 @@
 RESTAGE_IDLE_S = 2.0
 
 
+def term_of_epoch(epoch: int) -> int:
+    """Return the term under which a group got its epoch."""
+    return epoch // EPOCHS_PER_TERM
+
+
 class Formation:
     """Adds groups to the roster under increasing epochs.
 
--- a/tests/gateway/test_planner_cut_off.py
+++ b/tests/gateway/test_planner_cut_off.py
@@ -47,6 +47,7 @@
 
     def __init__(self, now):
         self.term = 7
+        self.era = 0
         self.held_since = now
         self.is_withdrawn = False
         self.is_granted = True
@@ -60,6 +61,9 @@
     def expired_while_held(self, now):
         return False
 
+    def refresh_term(self):
+        """The term is always the same."""
+
     def withdraw(self):
         self.is_withdrawn = True
 
