--- a/briarpond/__init__.py
+++ b/briarpond/__init__.py
@@ -1,3 +1,3 @@
 """Request routing for models that are each hosted by groups of several instances."""
 
-__version__ = "0.8.0"
+__version__ = "0.9.0"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -47,6 +47,8 @@
         self.proxy_port: int | None = None
         self.process: subprocess.Popen | None = None
         self.stopping = False
+        # Folder of the build that the process runs.
+        self.build = ROOT
 
     async def start(self) -> None:
         """Start the process; only the first start of a node may bootstrap."""
@@ -55,9 +57,13 @@
             self.proxy_port = await self.proxy.start()
         self.settings_path.write_text(self.settings_text(self.proxy_port, first_start))
         log = (self.soak.folder / f"{self.name}.log").open("ab")
-        env = {**os.environ, "BRIARPOND_SETTINGS": str(self.settings_path), "PYTHONPATH": str(ROOT)}
+        env = {
+            **os.environ,
+            "BRIARPOND_SETTINGS": str(self.settings_path),
+            "PYTHONPATH": str(self.build),
+        }
         command = [sys.executable, "-m", "briarpond.gateway"]
-        self.process = subprocess.Popen(command, cwd=ROOT, env=env, stdout=log, stderr=log)
+        self.process = subprocess.Popen(command, cwd=self.build, env=env, stdout=log, stderr=log)
         self.stopping = False
 
     def settings_text(self, platform_port: int, first_start: bool) -> str:
@@ -146,10 +152,14 @@
             await self.add_server("desk")
         self.config_version = 1
         self.publish_config()
-        self.nodes = [Node(self, number + 1) for number in range(self.node_count)]
+        self.nodes = [self.make_node(number + 1) for number in range(self.node_count)]
         for node in self.nodes:
             await node.start()
 
+    def make_node(self, number: int) -> Node:
+        """Return a node that has not started."""
+        return Node(self, number)
+
     async def add_server(self, service: str, domain: str | None = None) -> None:
         """Start a backend server: an engine if it has a domain, else a plain server."""
         server = BackendServer(self, service, domain)
@@ -266,12 +276,16 @@
             route_type = self.rng.choice(["non_idempotent", "idempotent", "stream"])
             request_id = f"c{number}.{count}"
             self.checks.route_types[request_id] = route_type
-            node = self.rng.choice(self.nodes)
+            node = self.pick_node()
             self.requests_sent += 1
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
                 await asyncio.wait_for(self.send_request(node, route_type, request_id), 5.0)
             await asyncio.sleep(self.rng.uniform(0.01, 0.06))
 
+    def pick_node(self) -> Node:
+        """Return the node that a caller asks next."""
+        return self.rng.choice(self.nodes)
+
     async def send_request(self, node: Node, route_type: str, request_id: str) -> None:
         """Send one request to a node and check the answer."""
         reader, writer = await asyncio.open_connection(node.ip, self.base_port)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -25,6 +25,9 @@
         Candidates for the lease, each with the time at which its membership ends.
     term : int
         Number of changes of the membership; each change picks a holder at random.
+    era : int or None
+        How often the store has come back from a copy, plus one; told in all answers. None for
+        a store that tells no era.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -35,6 +38,29 @@
         self.lease_members: dict[str, float] = {}
         self.lease_holder: str | None = None
         self.term = 0
+        self.era: int | None = None
+
+    async def drill(self, copy_age_s: float, away_s: float) -> None:
+        """Go away for a while and come back from a copy; callers of the drill wait for both.
+
+        What the nodes have written since the copy is lost. The newest record of each key that
+        the operator and the servers have written since is written again.
+        """
+        copied = {topic: len(records) for topic, records in self.topics.items()}
+        lease = dict(self.lease_members), self.lease_holder, self.term
+        await asyncio.sleep(copy_age_s)
+        self.mode = "reset"
+        await asyncio.sleep(away_s)
+        lost = {topic: records[copied.get(topic, 0) :] for topic, records in self.topics.items()}
+        for topic, records in self.topics.items():
+            del records[copied.get(topic, 0) :]
+        self.lease_members, self.lease_holder, self.term = lease
+        assert self.era is not None
+        self.era += 1
+        self.mode = "normal"
+        for topic in ("keyed.op", "keyed.servers"):
+            for key, value in dict(lost.get(topic, ())).items():
+                self.put(topic, key, value)
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record and wake the reads that wait; an empty value deletes the key."""
@@ -57,13 +83,23 @@
             method, target, _, body = request
             url = urlsplit(target)
             query = {name: values[0] for name, values in parse_qs(url.query).items()}
-            answer = await self.handle_request(url.path, query, body)
+            era = self.era
+            answer = self.with_era(await self.handle_request(url.path, query, body))
+            if self.era != era:
+                writer.transport.abort()
+                return
             if self.mode == "lose-answers" and method == "POST" and self.rng.random() < 0.5:
                 await asyncio.sleep(30)
                 break
             writer.write(answer)
         writer.close()
 
+    def with_era(self, answer: bytes) -> bytes:
+        """Add the era to an answer, if this store tells one."""
+        if self.era is None:
+            return answer
+        return answer.replace(b"\r\n", b"\r\nStore-Era: %d\r\n" % self.era, 1)
+
     async def handle_request(self, path, query, body) -> bytes:
         """Carry out a request; a read at the end of a topic waits for up to `waitMs`."""
         if path == "/log-join":
@@ -94,6 +130,8 @@
                 await asyncio.wait_for(self.appended.wait(), left_s)
             except TimeoutError:
                 break
+        if start > len(records):
+            return encode_answer(410, b'{"first": 0}')
         data = struct.pack(">QQ", len(records), 0)
         for key, value in records[start:]:
             encoded_key = key.encode()
