A model without any group gets one though the idle spares of each domain know other models

What callers see: 503 no_group for one model for as long as nothing else changes, while three or more instances of each domain are idle.

Cause: idle spares load another model only if two more than the group's members are idle, or if less than half of its members lack. With the model's last group lost, and one idle instance that still has it, neither holds, and the model doesn't count as new either.

The new test fails before.

Change: for a model without any group, none of whose spares is being loaded, no idle spares are kept.

--- a/briarpond/placement/_formation.py
+++ b/briarpond/placement/_formation.py
@@ -266,7 +266,8 @@
         """Load a model onto spares of other models to complete one more group.
 
         Done for a model that lacks less than half of the group's members, or whose
-        supply is below the demand.
+        supply is below the demand. For a model without any group, and none of whose spares is
+        being loaded in any domain, no idle spares are kept.
         """
         long_idle = [
             instance
@@ -274,14 +275,23 @@
             if now - self._roster.free_since.get(instance.id, now) > RESTAGE_IDLE_S
         ]
 
+        staged_models = {
+            group.model
+            for group in self._roster.groups.values()
+            if group.stage is GroupStage.STAGING
+        }
+
         def worth_loading(spec: ModelSpec) -> bool:
             missing = spec.group_size - spare_counts[spec.name]
             nearly_complete = (
                 0 < 2 * missing < spec.group_size and len(long_idle) >= spec.group_size
             )
-            undersupplied = self._roster.supply_ratio(spec, demand) < DEMAND_MET_RATIO
+            supply_ratio = self._roster.supply_ratio(spec, demand)
+            # Spares of other models are worth less than the only group of a model.
+            is_last_resort = supply_ratio == 0.0 and spec.name not in staged_models
+            kept = 0 if is_last_resort else MIN_IDLE_SPARES
             return nearly_complete or (
-                undersupplied and len(long_idle) >= spec.group_size + MIN_IDLE_SPARES
+                supply_ratio < DEMAND_MET_RATIO and len(long_idle) >= spec.group_size + kept
             )
 
         specs = [spec for spec in self._roster.engine.models if worth_loading(spec)]
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -150,6 +150,29 @@
     assert len(world.loads) == loads
 
 
+# Guards against a model whose last group was lost and that no group serves for good: the few idle
+# spares of each domain have the other model loaded, but one.
+def test_model_without_a_group_gets_spares_that_have_another_model():
+    world = World(ENGINE, 11, 11, 1)
+    planner = world.planner(1)
+    world.run(planner, 60.0)
+    grouped = {member for group in planner.groups.values() for member in group.members}
+    small = [group for group in planner.groups.values() if group.model == "small"]
+    spares = sorted(set(world.instances) - grouped)
+    for name, model in zip(spares, ("small", "big", "big"), strict=True):
+        simulated = world.instances[name]
+        simulated.staged, simulated.last_model, simulated.group = (model,), model, None
+        planner._roster.last_model[name] = model
+    lost = [member for group in small for member in group.members]
+    for name in lost:
+        world.kill(name)
+    remaining = len(world.instances) - len(lost)
+    assert remaining >= ENGINE.model("big").group_size + ENGINE.model("small").group_size
+    world.run(planner, 40.0, DEMAND)
+    serving = {each.model for each in planner.groups.values() if each.stage is GroupStage.OPEN}
+    assert serving == {"big", "small"} and not world.violations
+
+
 def test_next_planner_does_not_restart_running_loads():
     """A second order to stage the model under the next term would restart its load."""
     world = World(ENGINE, 20, 10, 1)
