A node without eras that is beyond our position is told none, so that it takes the confirmation

What callers see: during an upgrade from 0.7, after the store has come back from a copy, nodes of 0.7 refuse all requests with keys (503 keys_stale) until they are replaced.

Cause: such a node ignores what stands below its position, and takes a status with another position for no confirmation. After a restoration its position is one that the records haven't reached again, so that neither the store nor a newer node ever confirms its configuration.

Change: the answer to a node without eras whose position is higher than ours has no position; releases before eras judge such a status by the version alone. The statement is true: whoever has that version has what was the newest at that time.

--- a/briarpond/directory/_sync.py
+++ b/briarpond/directory/_sync.py
@@ -34,6 +34,7 @@
 from ._partners import Partners, PendingPull
 from ._plan_log import PlanLog
 from ._timing import PROBE_AFTER_S, SETTLING_S
+from ._version import ExchangeVersion
 
 # Most members in one answer; the rest follows with the next.
 MAX_MEMBERS_PER_ANSWER = 60
@@ -231,11 +232,25 @@
             self._load_for(sender, now),
             self._callbacks.plan_status(now),
             self.plan_log.delta_since(pull.plan),
-            self._callbacks.config_status(now),
+            self._config_status_for(pull, now),
             self._callbacks.evidence(now),
         )
         return [Outgoing(sender.caller_address.host, answer)]
 
+    def _config_status_for(self, pull: Pull, now: float) -> ConfigStatus | None:
+        """Return the status of the configuration, as the asker can use it.
+
+        A node without eras that is beyond our position may have been there before the store came
+        back from a copy. It would take nothing that has a lower position for a confirmation.
+        """
+        status = self._callbacks.config_status(now)
+        if status is None or status.position is None or pull.config_position is None:
+            return status
+        knows_eras = pull.sender.exchange_version >= ExchangeVersion.STORE_ERAS
+        if knows_eras or pull.config_position.offset <= status.position.offset:
+            return status
+        return msgspec.structs.replace(status, position=None)
+
     def _load_for(self, asker: Member, now: float) -> Load | None:
         if not self.members.is_relay(now):
             return None
--- a/tests/directory/test_releases.py
+++ b/tests/directory/test_releases.py
@@ -8,6 +8,7 @@
 import re
 from pathlib import Path
 
+import msgspec
 import pytest
 from thrift.protocol.TBase import TBase
 from thrift.protocol.TCompactProtocol import TCompactProtocol
@@ -18,10 +19,13 @@
 from briarpond.directory import (
     CURRENT_VERSION,
     Answer,
+    ConfigStatus,
     ExchangeVersion,
+    Load,
     Member,
     MemberTable,
     Notice,
+    PlanVersion,
     Pull,
     StorePosition,
     decode_config_record,
@@ -30,7 +34,7 @@
 )
 from briarpond.net import Address
 
-from .test_directory import MESSAGES, member
+from .test_directory import MESSAGES, member, sync_with_position
 
 FOLDER = Path(__file__).with_name("releases")
 RELEASES = sorted(path.stem for path in FOLDER.glob("*.thrift"))
@@ -168,6 +172,27 @@
     assert table.live(10.2) == [whole]
 
 
+# Guards against a node of 0.7 that refuses all keys after a restoration, since it takes none of the
+# confirmations: its position is that of before, which the records have not reached again.
+@pytest.mark.parametrize(
+    ("version", "offset", "told"),
+    [
+        (ExchangeVersion.WITHOUT_ERAS, 9, None),
+        (ExchangeVersion.WITHOUT_ERAS, 4, StorePosition(2, 4)),
+        (ExchangeVersion.WITHOUT_ERAS, 3, StorePosition(2, 4)),
+        (ExchangeVersion.STORE_ERAS, 9, StorePosition(2, 4)),
+    ],
+)
+def test_position_is_not_told_to_a_node_without_eras_that_is_beyond_it(version, offset, told):
+    status = ConfigStatus(7, 0.5, StorePosition(2, 4))
+    sync = sync_with_position(member("1"), status, [])
+    asker = member("2", exchange_version=version)
+    position = StorePosition(0, offset)
+    pull = Pull(asker, 1, 0, 0, PlanVersion(), 7, Load(), config_position=position)
+    (answer,) = sync.on_pull(pull, 10.0)
+    assert answer.message.config == msgspec.structs.replace(status, position=told)
+
+
 def test_mark_of_a_node_that_is_gone_is_taken_from_an_earlier_release():
     table = MemberTable(member("1"))
     whole = member("2")
