A take-over waits for a forgotten lease only shortly after a restoration

What callers see with plain terms, beside a store that tells eras: each change of the planner leaves the groups without repair for 1.0 s instead of 0.3 s, also where the former one has said that it stopped.

Cause: a forgotten lease was inferred from a plan whose term has a former era. A plain term has none, so every predecessor's plan looked like one of a former era.

Change: the client of the store keeps when it first heard of the era. A lease that is granted less than its own lifetime later may stand beside one that the store has forgotten, and waits as before.

Result: tests of both sides of that bound; the test of the wait after a restoration holds.

--- a/briarpond/gateway/_lease.py
+++ b/briarpond/gateway/_lease.py
@@ -52,8 +52,6 @@
     term : int
         Term of the lease that follows from the store's answers; it rises with each change of the
         lease group's members and with each era of the store.
-    era : int
-        Era of the store that granted the lease, or dealt it to another member.
     held_since : float
         Time at which this node last became the holder; infinite if it never did.
     ttl_s : float
@@ -72,14 +70,14 @@
         highest_used_term: Callable[[], int | None] = lambda: None,
     ) -> None:
         self.term = 0
-        self.era = 0
         self.held_since = float("inf")
         self._should_apply = should_apply
         self._is_prepared = is_prepared
         self._is_superseded = is_superseded
         self._highest_used_term = highest_used_term
-        # Highest generation that the store has named in the era, which the term is made from, and
-        # whether the term is that generation.
+        # Era of the store's last answer, the highest generation that it has named in it, which the
+        # term is made from, and whether the term is that generation.
+        self._era = 0
         self._term_generation = 0
         self._has_plain_term = False
         self._is_applying = False
@@ -160,6 +158,15 @@
         """Whether this node holds an unexpired lease."""
         return self._holds and now < self._renewed_at + self.ttl_s - EXPIRY_MARGIN_S
 
+    @property
+    def follows_forgotten_lease(self) -> bool:
+        """Whether a lease that the store has forgotten may be in force beside this one.
+
+        The store came back from a copy, or this node first heard of it, less than the lifetime of
+        a lease before it granted this one.
+        """
+        return self._store.era > 0 and self.held_since - self._store.era_since < self.ttl_s
+
     def expired_while_held(self, now: float) -> bool:
         """Whether this node held the lease at the store's last answer and it has expired since."""
         return self._holds and not self.holds(now)
@@ -208,7 +215,7 @@
 
     def _known_generation(self) -> int:
         """Return the last generation of the present era; 0 if none is known."""
-        return self._generation if self.era == self._store.era else 0
+        return self._generation if self._era == self._store.era else 0
 
     def _on_answer(self, member: str, requested_at: float, status: int, body: bytes) -> None:
         answer = decode_lease(body) if status == 200 else None
@@ -237,8 +244,8 @@
 
     def _update_term(self, era: int, generation: int) -> None:
         """Set the term that belongs to the newest of the store's answers."""
-        if era != self.era or generation > self._term_generation:
-            self.era, self._term_generation = era, generation
+        if era != self._era or generation > self._term_generation:
+            self._era, self._term_generation = era, generation
             self._has_plain_term = False
         self.refresh_term()
 
@@ -253,10 +260,10 @@
             return
         highest_used = self._highest_used_term()
         if highest_used is None:
-            self.term = lease_term(self.era, generation)
+            self.term = lease_term(self._era, generation)
         else:
             is_own = self._has_plain_term
-            self.term = lowest_unused_term(self.era, generation, highest_used, is_own)
+            self.term = lowest_unused_term(self._era, generation, highest_used, is_own)
         self._has_plain_term = self.term == generation
 
     def _on_no_answer(self, reason: LossReason) -> None:
--- a/briarpond/gateway/_lease_term.py
+++ b/briarpond/gateway/_lease_term.py
@@ -36,8 +36,3 @@
     """
     is_free = generation > highest_used or (is_own and generation == highest_used)
     return generation if is_free else lease_term(era, generation)
-
-
-def era_of_term(term: int) -> int:
-    """Return the era of the store to which a term belongs."""
-    return term // GENERATIONS_PER_ERA
--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -127,7 +127,9 @@
         self._clock = clock
         self._on_stopped = on_stopped
         self._started_at = clock.now()
-        self._store = StoreClient(settings.store.address, client, self._on_store_restored)
+        self._store = StoreClient(
+            settings.store.address, client, self._on_store_restored, clock.now
+        )
         self._config = ConfigKeeper(
             self.state,
             self._store,
--- a/briarpond/gateway/_planner_link.py
+++ b/briarpond/gateway/_planner_link.py
@@ -24,7 +24,6 @@
 
 from ._evacuation import without_evacuated
 from ._lease import PlannerLease
-from ._lease_term import era_of_term
 from ._peers import PeerLink
 from ._state import NodeState
 
@@ -217,8 +216,8 @@
 
     def _previous_planner_stopped_at(self, lease_since: float, now: float) -> float:
         """Return the time from which the previous planner certainly does not act any more."""
-        if self._plan_is_of_former_era():
-            # The store has forgotten the lease that it had granted, and did not wait for its end.
+        if self._lease.follows_forgotten_lease:
+            # The store did not wait for the end of the lease that it had granted before.
             return lease_since + max(self._lease.ttl_s, TAKE_OVER_DELAY_S)
         previous = self._state.planner
         members = self._peers.sync.members
@@ -229,14 +228,6 @@
             return lease_since + TAKE_OVER_DELAY_S
         return lease_since + TAKE_OVER_DELAY_IF_SILENT_S
 
-    def _plan_is_of_former_era(self) -> bool:
-        """Whether the store may have come back from a copy since the newest known plan.
-
-        The plan of a node without eras doesn't say that it hasn't.
-        """
-        plan = self._state.plan
-        return plan is not None and era_of_term(plan.term) < self._lease.era
-
     @property
     def taking_over(self) -> bool:
         """Whether this node holds the lease but does not plan yet."""
--- a/briarpond/gateway/_store_client.py
+++ b/briarpond/gateway/_store_client.py
@@ -21,6 +21,8 @@
         Client that sends the calls.
     on_restored : callable
         Called when the era has risen: what was written lately is missing in the store for now.
+    now : callable
+        Returns the present time.
 
     Attributes
     ----------
@@ -29,19 +31,27 @@
     era : int
         Latest era that an answer has named; 0 if none did. The store begins a new one when it
         comes back from a copy; offsets and generations of two eras can't be compared.
+    era_since : float
+        Time at which this process first heard of the era.
     was_restored : bool
         Whether the store has come back from a copy since this process first heard of it.
     """
 
     def __init__(
-        self, address: Address, client: HttpClient, on_restored: Callable[[], None]
+        self,
+        address: Address,
+        client: HttpClient,
+        on_restored: Callable[[], None],
+        now: Callable[[], float],
     ) -> None:
         self._address = address
         self._client = client
         self.calls = 0
         self.era = 0
+        self.era_since = float("-inf")
         self.was_restored = False
         self._on_restored = on_restored
+        self._now = now
 
     def call(
         self, request: StoreRequest, timeout_s: float, on_answer: OnAnswer, on_lost: OnLost
@@ -93,6 +103,7 @@
             log_event("store_era", era=era, known=self.era)
             is_first = self.era == 0
             self.era = era
+            self.era_since = self._now()
             if not is_first:
                 self.was_restored = True
                 run_guarded("store_restored", self._on_restored)
--- a/tests/gateway/test_confirmations.py
+++ b/tests/gateway/test_confirmations.py
@@ -88,7 +88,7 @@
         self.rewrite_at = None
         for host in self.hosts:
             wire = self.wires[host] = StoreWire(self.world.clock, self.world.log, self.rng)
-            store = StoreClient(Address("10.0.0.1", 80), wire, lambda: None)
+            store = StoreClient(Address("10.0.0.1", 80), wire, lambda: None, self.world.clock.now)
             self.world.start(host, host in CANDIDATES, store)
 
     def run(self):
--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -143,6 +143,23 @@
     assert candidate.term > former and candidate.holds(candidate.clock.now())
 
 
+# Guards against two planners at a time: the store that has come back grants a lease beside one that
+# it has forgotten. A take-over without a restoration shortly before needs no wait.
+@pytest.mark.parametrize(("era", "known_for_s", "follows"), [(2, 0.2, True), (2, 1.3, False)])
+def test_lease_follows_a_forgotten_one_only_shortly_after_a_restoration(era, known_for_s, follows):
+    clock = VirtualClock()
+    store = LeaseStore()
+    store.era, store.era_since = era, clock.now() + 0.3 - known_for_s
+    lease = PlannerLease(store, clock, "n1", 1.0, lambda: True, lambda: True, lambda: False)
+    lease.start()
+    clock.advance(0.4)
+    assert lease.holds(clock.now()) and lease.follows_forgotten_lease is follows
+
+
+def test_store_without_eras_forgets_no_lease(candidate):
+    assert candidate.holds(candidate.clock.now()) and not candidate.follows_forgotten_lease
+
+
 def test_first_call_in_an_era_names_no_generation_of_another(candidate):
     candidate.store.term = 9
     candidate.clock.advance(2 * RENEW_INTERVAL_S)
--- a/tests/gateway/test_planner_cut_off.py
+++ b/tests/gateway/test_planner_cut_off.py
@@ -47,7 +47,7 @@
 
     def __init__(self, now):
         self.term = 7
-        self.era = 0
+        self.follows_forgotten_lease = False
         self.held_since = now
         self.is_withdrawn = False
         self.is_granted = True
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -25,9 +25,9 @@
     state.fleet.put(make_instance("i-1"), now)
     lease = SimpleNamespace(
         term=7,
-        era=0,
         held_since=now,
         ttl_s=1.5,
+        follows_forgotten_lease=False,
         refresh_term=lambda: None,
         holds=lambda now: True,
         expired_while_held=lambda now: False,
@@ -287,7 +287,8 @@
 def test_take_over_waits_for_a_lease_that_the_restored_store_does_not_know(node):
     gateway, runner = node
     gateway.state.accept_plan(Plan(lease_term(1, 7), 1, True, RoutingTargets()), 0.0)
-    runner._lease.era, runner._lease.term = 2, lease_term(2, 3)
+    runner._lease.term = lease_term(2, 3)
+    runner._lease.follows_forgotten_lease = True
     gateway.members.planning_ended_at = lambda node: gateway.clock.now()
     assert not step_after(node, 1.4)
     assert step_after(node, 0.2)
@@ -296,5 +297,5 @@
 def test_take_over_within_an_era_does_not_wait_for_the_lifetime_of_the_lease(node):
     gateway, runner = node
     gateway.state.accept_plan(Plan(lease_term(2, 2), 1, True, RoutingTargets()), 0.0)
-    runner._lease.era, runner._lease.term = 2, lease_term(2, 3)
+    runner._lease.term = lease_term(2, 3)
     assert step_after(node, 0.4)
--- a/tests/gateway/test_store_client.py
+++ b/tests/gateway/test_store_client.py
@@ -28,7 +28,10 @@
 
     def __init__(self):
         self.http = AnsweringClient()
-        self.store = StoreClient(Address("10.0.0.1", 80), self.http, self._on_restored)
+        self.store = StoreClient(
+            Address("10.0.0.1", 80), self.http, self._on_restored, lambda: self.now
+        )
+        self.now = 100.0
         self.restored = []
         self.answered = []
         self.lost = []
@@ -94,3 +97,15 @@
     world.store.note_era(4)
     world.store.note_era(1)
     assert world.restored == [3, 4]
+
+
+def test_time_of_an_era_is_that_of_its_first_answer():
+    world = World()
+    world.call()
+    world.http.answer(0, era=1)
+    assert (world.store.era_since, world.store.was_restored) == (100.0, False)
+    for at, era in ((103.0, 2), (105.0, 2)):
+        world.now = at
+        world.call()
+        world.http.answer(-1, era=era)
+    assert (world.store.era_since, world.store.was_restored) == (103.0, True)
