--- a/briarpond/gateway/_node.py
+++ b/briarpond/gateway/_node.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Sequence
 
 from briarpond.directory import (
-    ExchangeVersion,
     Load,
     Member,
     Plan,
@@ -27,7 +26,6 @@
     TcpListener,
     run_guarded,
 )
-from briarpond.placement import term_of_epoch
 from briarpond.platform import (
     INSTANCES_TOPIC,
     GatewaySettings,
@@ -41,6 +39,7 @@
 from briarpond.routes import GatewayConfiguration
 
 from ._caller_bodies import body_budget_bytes, record_body_refusal
+from ._candidacy import PLANNER_READ_WAIT_S, Candidacy
 from ._cold_link import RECENT_NODES_S
 from ._config_keeper import ConfigKeeper
 from ._connection_log import record_connection_end
@@ -49,7 +48,7 @@
 from ._hop_receiver import answer_hop, peer_limits
 from ._ingress import Ingress
 from ._instance_list import InstanceList
-from ._lease import MAX_CANDIDATES, PlannerLease
+from ._lease import PlannerLease
 from ._peers import PeerLink
 from ._planner_link import PlannerRunner
 from ._pressure import measure_pressure
@@ -61,7 +60,7 @@
 from ._state import NodeState
 from ._stopping import Stop
 from ._store_client import StoreClient
-from ._topic_feed import READ_MARGIN_S, READ_WAIT_S, TopicFeed
+from ._topic_feed import READ_WAIT_S, TopicFeed
 
 # Lifetime of a directory answer; the settings may bound it further.
 DIRECTORY_TTL_S = 1.0
@@ -74,10 +73,6 @@
 # Longest wait of a read of the instance list on a node that is taking over the planning: it
 # reads often, to see everything that the previous planner has done.
 TAKE_OVER_READ_WAIT_S = 0.05
-# The same on the planner. A record at the end of a wait confirms only the time at which the
-# read was sent, and the next wait must end before the planner's list counts as old
-# (`plan_lifetime_s`).
-PLANNER_READ_WAIT_S = 0.5
 # How often the number of nodes is counted and state of lost nodes and instances is dropped.
 HOUSEKEEPING_INTERVAL_S = 1.0
 # How often instances that are still missing after an outage of the store are looked for.
@@ -174,15 +169,16 @@
             lambda: sync.is_connected(clock.now()),
             lambda: self._lease.is_candidate(clock.now()),
         )
+        candidacy = Candidacy(self.state, sync, self._store, self._instances_feed)
         self._lease = PlannerLease(
             self._store,
             clock,
             settings.node,
             settings.store.min_lease_ttl_s,
-            self._should_apply,
-            self._is_prepared_to_plan,
-            self._is_superseded,
-            self._highest_used_term,
+            candidacy.should_apply,
+            candidacy.is_prepared,
+            lambda: candidacy.is_superseded(self._lease.term),
+            candidacy.highest_used_term,
         )
         self._planner = PlannerRunner(
             self.state, self._lease, self._peers, lambda: self._instances_feed.known_until
@@ -412,36 +408,6 @@
             on_config_position=self._config.on_position,
         )
 
-    def _should_apply(self) -> bool:
-        now = self._clock.now()
-        sync = self._peers.sync
-        return sync.is_settled(now) and sync.members.should_apply(MAX_CANDIDATES, now)
-
-    def _is_prepared_to_plan(self) -> bool:
-        """Whether this node has followed the instance list long enough to plan at once."""
-        now = self._clock.now()
-        age = self._instances_feed.age(now)
-        is_fresh = age is not None and age < PLANNER_READ_WAIT_S + READ_MARGIN_S
-        return is_fresh and self.state.fleet.is_complete(now)
-
-    def _is_superseded(self) -> bool:
-        plan = self.state.plan
-        return plan is not None and plan.term > self._lease.term
-
-    def _highest_used_term(self) -> int | None:
-        """Return the highest term known to be in use; None if terms must have the store's era.
-
-        After a restoration they must: a term that nobody knows any more may have been used. But
-        nodes of releases that know no eras couldn't plan after such a term.
-        """
-        lowest_version = self._peers.sync.members.lowest_version()
-        if self._store.was_restored and lowest_version >= ExchangeVersion.STORE_ERAS:
-            return None
-        plan = self.state.plan
-        instances = self.state.fleet.all_instances()
-        epochs = [each.membership.epoch for each in instances if each.membership is not None]
-        return max(0 if plan is None else plan.term, term_of_epoch(max(epochs, default=0)))
-
     def _plan_status(self, now: float) -> PlanStatus | None:
         state = self.state
         if self._planner.publishes(now):
