--- a/tests/gateway/test_changed_configuration.py
+++ b/tests/gateway/test_changed_configuration.py
@@ -16,7 +16,7 @@
 from briarpond.routes import RouteTable
 
 from ..platform_samples import CONFIG, config_bytes, server_bytes
-from .world import Gateway
+from .world import Gateway, held_lease
 
 POOL, DESK = CONFIG["services"]
 ROUTES = [{**CONFIG["routes"][0], "split": [], "service": "pool"}, *CONFIG["routes"][1:]]
@@ -115,9 +115,7 @@
     list_group(gateway, 1)
     list_group(gateway, 2)
     now = gateway.clock.now()
-    lease = SimpleNamespace(
-        term=7, held_since=now, holds=lambda now: True, expired_while_held=lambda now: False
-    )
+    lease = held_lease(now)
     members = SimpleNamespace(
         planning_ended_at=lambda node: None, no_node_reaches_store=lambda now: False
     )
--- a/tests/gateway/test_planner_link.py
+++ b/tests/gateway/test_planner_link.py
@@ -14,7 +14,7 @@
 from briarpond.routes import RouteTable
 
 from ..platform_samples import CONFIG, config_bytes, server_bytes
-from .world import Gateway, make_instance
+from .world import Gateway, held_lease, make_instance
 
 
 @pytest.fixture
@@ -23,15 +23,7 @@
     state = gateway.state
     now = gateway.clock.now()
     state.fleet.put(make_instance("i-1"), now)
-    lease = SimpleNamespace(
-        term=7,
-        held_since=now,
-        ttl_s=1.5,
-        follows_forgotten_lease=False,
-        refresh_term=lambda: None,
-        holds=lambda now: True,
-        expired_while_held=lambda now: False,
-    )
+    lease = held_lease(now)
     gateway.members = SimpleNamespace(
         planning_ended_at=lambda node: None, no_node_reaches_store=lambda now: False
     )
--- a/tests/gateway/test_services_with_one_model.py
+++ b/tests/gateway/test_services_with_one_model.py
@@ -24,7 +24,7 @@
 from briarpond.routes import HostedModel, RouteTable
 
 from ..platform_samples import CONFIG, config_bytes, server_bytes
-from .world import STAMP_HEADER, Gateway
+from .world import STAMP_HEADER, Gateway, held_lease
 
 PORTS = {"pool": 81, "next": 91}
 STREAM_ROUTE, *OTHER_ROUTES = CONFIG["routes"]
@@ -233,9 +233,7 @@
 def runner(gateway):
     """Return a planner that has taken over the groups of both services."""
     now = gateway.clock.now()
-    lease = SimpleNamespace(
-        term=7, held_since=now, holds=lambda now: True, expired_while_held=lambda now: False
-    )
+    lease = held_lease(now)
     members = SimpleNamespace(
         planning_ended_at=lambda node: None, no_node_reaches_store=lambda now: False
     )
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 from pathlib import Path
+from types import SimpleNamespace
 
 from briarpond.directory import GroupTarget, Plan, RoutingTargets
 from briarpond.dispatch import BudgetNodes
@@ -143,6 +144,19 @@
     return decode_instance(name, server_bytes()).ok
 
 
+def held_lease(now):
+    """Return a lease of the planner that is held since `now` and never ends."""
+    return SimpleNamespace(
+        term=7,
+        held_since=now,
+        ttl_s=1.5,
+        follows_forgotten_lease=False,
+        refresh_term=lambda: None,
+        holds=lambda now: True,
+        expired_while_held=lambda now: False,
+    )
+
+
 def known_nodes(own, now):
     """Return the nodes as one knows them that has run alone for longer than a window."""
     started_at = now - RUNS_FOR_S
