--- a/tests/soak/upgrade.py
+++ b/tests/soak/upgrade.py
@@ -271,7 +271,7 @@
         )
     finally:
         soak.kill_nodes()
-    await end_leftover_tasks()
+        await end_leftover_tasks()
     return soak
 
 
