--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -40,8 +40,8 @@
         self.term = 0
         self.era: int | None = None
 
-    async def drill(self, copy_age_s: float, away_s: float) -> None:
-        """Go away for a while and come back from a copy; callers of the drill wait for both.
+    async def restore_from_copy(self, copy_age_s: float, away_s: float) -> None:
+        """Take a copy, go away after a while, and come back from the copy.
 
         What the nodes have written since the copy is lost. The newest record of each key that
         the operator and the servers have written since is written again.
--- a/tests/soak/upgrade.py
+++ b/tests/soak/upgrade.py
@@ -14,6 +14,7 @@
 import sys
 import time
 from collections.abc import Callable
+from enum import Enum
 from pathlib import Path
 
 from .options import ROOT, command_line, run_seeds
@@ -35,6 +36,14 @@
 MAX_LOST_CHANGES = 4
 
 
+class Trouble(Enum):
+    """What may happen after a node was replaced."""
+
+    CRASH = "crash"
+    RESTORATION = "restoration"
+    LOST_HEADS = "lost-heads"
+
+
 class UpgradeNode(Node):
     """A node that is replaced; `started_at` is the time (monotonic) of its last start."""
 
@@ -62,7 +71,7 @@
     route_added_at : dict
         When (monotonic) the store had taken the version that added each route.
     disturbed_at : float
-        When (monotonic) something other than planned work was last under way.
+        When (monotonic) something other than planned work was last under way; infinite while it is.
     statuses : Counter
         How many requests got each status; 0 is no whole answer.
     """
@@ -83,12 +92,11 @@
     def routes(self) -> list[dict]:
         """Return the first routes and one for each change of the configuration."""
         first = super().routes()
-        added = [{**first[2], "name": each, "pathPrefix": f"/{each}/"} for each in self._added()]
+        added = [
+            {**first[2], "name": name, "pathPrefix": f"/{name}/"} for name in self.route_added_at
+        ]
         return [*first, *added]
 
-    def _added(self) -> list[str]:
-        return list(self.route_added_at)
-
     def note(self, text: str) -> None:
         """Write down with the time what is done, for the reader of the logs."""
         self._events.write(f"ts={time.time():.3f} {text}\n")
@@ -111,7 +119,7 @@
     async def crash(self, node: UpgradeNode) -> None:
         """Kill a node and start the same build again."""
         self.note(f"{node.name} is killed")
-        self.disturbed_at = time.monotonic()
+        self.disturbed_at = float("inf")
         node.signal(signal.SIGKILL)
         node.process.wait()
         await asyncio.sleep(self.rng.uniform(0.1, 2.0))
@@ -119,17 +127,18 @@
         await self.wait_for(f"{node.name} to be ready", lambda: self._is_ready(node))
         self.disturbed_at = time.monotonic()
 
-    async def drill(self) -> None:
-        """Let the store come back from a copy some seconds old."""
+    async def restore_store(self) -> None:
+        """Let the store come back from a copy, with changes in the seconds that it loses."""
+        self.disturbed_at = float("inf")
         copy_age_s, away_s = self.rng.uniform(0.5, 4.0), self.rng.uniform(0.2, 1.5)
-        self.note(f"drill: copy {copy_age_s:.2f} s old, away for {away_s:.2f} s")
-        drill = asyncio.create_task(self.store.drill(copy_age_s, away_s))
+        self.note(f"the store loses {copy_age_s:.2f} s and is away for {away_s:.2f} s")
+        restoration = asyncio.create_task(self.store.restore_from_copy(copy_age_s, away_s))
         for _ in range(self.rng.randint(0, MAX_LOST_CHANGES)):
             await asyncio.sleep(copy_age_s / (MAX_LOST_CHANGES + 1))
             self.add_route()
-        await drill
+        await restoration
         self.disturbed_at = time.monotonic()
-        self.note("drill: the store is back")
+        self.note("the store is back")
         await asyncio.sleep(self.rng.uniform(0.1, 6.0))
         self.add_route()
 
@@ -234,7 +243,18 @@
         return f"{super().summary()}, other statuses {refused}"
 
 
-async def _play_steps(soak: UpgradeSoak, builds: list[Path], troubles: list[str]) -> None:
+async def _make(soak: UpgradeSoak, trouble: Trouble, new: Path) -> None:
+    match trouble:
+        case Trouble.CRASH:
+            await soak.crash(soak.rng.choice(soak.nodes))
+        case Trouble.RESTORATION if any(node.build == new for node in soak.nodes):
+            # The old build alone may not know that a store can come back from a copy.
+            await soak.restore_store()
+        case Trouble.LOST_HEADS:
+            await soak.lose_heads()
+
+
+async def _play_steps(soak: UpgradeSoak, builds: list[Path], troubles: list[Trouble]) -> None:
     """Replace all nodes by each build in turn, with trouble after each replacement."""
     new = builds[0]
     for build in builds:
@@ -242,20 +262,13 @@
             await soak.replace(node, build)
             soak.add_route()
             for trouble in soak.rng.sample(troubles, min(len(troubles), soak.rng.randint(0, 2))):
-                match trouble:
-                    case "crash":
-                        await soak.crash(soak.rng.choice(soak.nodes))
-                    case "drill" if any(node.build == new for node in soak.nodes):
-                        # The old build alone may not know that a store can come back from a copy.
-                        await soak.drill()
-                    case "heads":
-                        await soak.lose_heads()
+                await _make(soak, trouble, new)
             await asyncio.sleep(soak.rng.uniform(0.2, 4.0))
     await asyncio.sleep(CONFIG_APPLY_S + STABLE_WINDOW_S)
 
 
 async def run_upgrade(
-    seed: int, folder: Path, nodes: int, old: Path, new: Path, troubles: list[str]
+    seed: int, folder: Path, nodes: int, old: Path, new: Path, troubles: list[Trouble]
 ) -> UpgradeSoak:
     """Run one seed: up to the new build and, for even seeds, back to the old one."""
     soak = UpgradeSoak(seed, folder, nodes, old)
@@ -280,13 +293,17 @@
     parser = command_line(__doc__, "upgrade", 0.0)
     parser.add_argument("--old", type=Path, required=True, help="folder of the old build")
     parser.add_argument("--new", type=Path, default=ROOT, help="folder of the new build")
-    parser.add_argument("--troubles", default="crash,drill,heads")
+    parser.add_argument("--troubles", nargs="*", type=Trouble, default=list(Trouble))
     options = parser.parse_args()
-    troubles = [each for each in options.troubles.split(",") if each]
     return run_seeds(
         options,
         lambda seed, folder: run_upgrade(
-            seed, folder, options.nodes, options.old.resolve(), options.new.resolve(), troubles
+            seed,
+            folder,
+            options.nodes,
+            options.old.resolve(),
+            options.new.resolve(),
+            options.troubles,
         ),
     )
 
