Upgrade soak: the readiness probe and the probe of a route ask a node by the same code

The two opened a connection, wrote a request and read a status each on its own. A readiness probe now also has the timeout of 2 s that the other one had; the checks and their bounds are as they were.

--- a/tests/soak/upgrade.py
+++ b/tests/soak/upgrade.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections
-import contextlib
 import signal
 import sys
 import time
@@ -162,14 +161,8 @@
         return models <= self.open_models()
 
     async def _is_ready(self, node: Node) -> bool:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            reader, writer = await asyncio.open_connection(node.ip, self.base_port + 1)
-            try:
-                writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-                return status_of((await reader.readuntil(b"\r\n\r\n")).decode("latin-1")) == 200
-            finally:
-                writer.transport.abort()
-        return False
+        request = b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n"
+        return await self._status_of(node, self.base_port + 1, request) == 200
 
     async def wait_for(
         self, what: str, condition: Callable, timeout_s: float = READY_TIMEOUT_S
@@ -206,7 +199,8 @@
                 request_id = f"p{number}"
                 self.checks.route_types[request_id] = "idempotent"
                 path = f"/{self.rng.choice(known[-2:])}/x"
-                status = await self._status_of(node, encode_request(request_id, path))
+                request = encode_request(request_id, path)
+                status = await self._status_of(node, self.base_port, request)
                 if status in (401, 403, 404):
                     self.note(f"{request_id} at {node.name}: {path} gets {status}")
                     self.checks.report(f"{request_id}: {node.name} answers {path} with {status}")
@@ -215,9 +209,10 @@
         calm_since = max(node.started_at, self.disturbed_at) + STABLE_WINDOW_S
         return node.running and not node.stopping and now > calm_since
 
-    async def _status_of(self, node: Node, request: bytes) -> int:
+    async def _status_of(self, node: Node, port: int, request: bytes) -> int:
+        """Return the status of a node's answer; 0 if there is none."""
         try:
-            reader, writer = await asyncio.open_connection(node.ip, self.base_port)
+            reader, writer = await asyncio.open_connection(node.ip, port)
         except OSError:
             return 0
         try:
